Add the typed messages of workers and platform

Cause: the decision libraries and the adapters need the same message types. Result: the header compiles; nothing is measured.

--- /dev/null
+++ b/gypsumfall/protocol/protocol.h
@@ -0,0 +1,19 @@
+#ifndef GYPSUMFALL_PROTOCOL_PROTOCOL_H_
+#define GYPSUMFALL_PROTOCOL_PROTOCOL_H_
+
+/// @file
+/// Typed messages between entry hosts, workers and the platform, and the
+/// records that are kept in the table service. Decision libraries use the
+/// types; the codecs to and from JSON text are declared beside them.
+///
+/// Example:
+/// @code
+///   std::string body = Encode(AttachCall{owner, Epoch(4)});
+///   Result<AttachReply> reply = Decode<AttachReply>(response_body);
+/// @endcode
+
+#include "gypsumfall/protocol/internal/codec.h"
+#include "gypsumfall/protocol/internal/table_messages.h"
+#include "gypsumfall/protocol/internal/worker_messages.h"
+
+#endif  // GYPSUMFALL_PROTOCOL_PROTOCOL_H_
