Put contracts and follow their revisions through the table service

Change: contract_sync with the put as a compare-and-set that reads lost answers back by token, and a follower of revisions. Change rows now name the version that must be seen.

--- /dev/null
+++ b/gypsumfall/contract_sync/contract_put.cc
@@ -0,0 +1,121 @@
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gypsumfall/contract_sync/contract_sync.h"
+#include "gypsumfall/contract_sync/internal/keys.h"
+
+namespace gypsumfall {
+
+using contract_sync_internal::ChangeKey;
+using contract_sync_internal::EncodeChange;
+using contract_sync_internal::kRevisionKey;
+using contract_sync_internal::ParseRevision;
+
+namespace {
+
+// Puts for other customers move the shared revision row, so a put may have to
+// be written more than once before it is given up.
+constexpr int kMaxTries = 16;
+
+StoredContract CurrentOf(const Row& row, const CustomerId& customer) {
+  if (row.version == RowVersion()) return {.customer = customer};
+  return DecodeStoredContract(row.value).value_or(
+      StoredContract{.customer = customer});
+}
+
+}  // namespace
+
+std::vector<ContractAction> ContractPut::Start() { return ReadBase(); }
+
+std::vector<ContractAction> ContractPut::ReadBase() {
+  phase_ = Phase::kReadingBase;
+  return {ReadRows{{{ContractKey(order_.customer), kRevisionKey}}}};
+}
+
+std::vector<ContractAction> ContractPut::ReadBack() {
+  phase_ = Phase::kReadingBack;
+  return {ReadRows{{{ContractKey(order_.customer), kRevisionKey,
+                     ContractHistoryKey(order_.customer, NewVersion())}}}};
+}
+
+std::vector<ContractAction> ContractPut::OnRows(const RowsReply& reply) {
+  const bool reading_back = phase_ == Phase::kReadingBack;
+  if (reply.rows.size() != (reading_back ? 3U : 2U)) return OnReadFailed();
+  if (reading_back && reply.rows[2].version != RowVersion()) {
+    const StoredContract kept = CurrentOf(reply.rows[2], order_.customer);
+    if (kept.token == order_.token) {
+      // The try that was applied is not known; the newest revision covers it.
+      return Finish(PutDone{NewVersion(), ParseRevision(reply.rows[1].value)});
+    }
+  }
+  return Decide(reply.rows[0], reply.rows[1]);
+}
+
+std::vector<ContractAction> ContractPut::Decide(const Row& contract_row,
+                                                const Row& revision_row) {
+  StoredContract current = CurrentOf(contract_row, order_.customer);
+  if (current.version == order_.base_version) {
+    return Write(contract_row, revision_row);
+  }
+  if (maybe_applied_ && phase_ != Phase::kReadingBack) return ReadBack();
+  return Finish(
+      PutRejected{{ErrorKind::kConflict, "the contract was changed meanwhile"},
+                  std::move(current)});
+}
+
+std::vector<ContractAction> ContractPut::Write(const Row& contract_row,
+                                               const Row& revision_row) {
+  if (++tries_ > kMaxTries) return Finish(PutUnknown{});
+  phase_ = Phase::kWriting;
+  revision_ = ParseRevision(revision_row.value).Next();
+  const std::string value = EncodeStoredContract({.customer = order_.customer,
+                                                  .version = NewVersion(),
+                                                  .text = order_.text,
+                                                  .author = order_.author,
+                                                  .token = order_.token});
+  TransactCall call;
+  call.token = order_.token;
+  call.checks = {{contract_row.key, contract_row.version},
+                 {revision_row.key, revision_row.version}};
+  call.puts = {
+      {contract_row.key, value},
+      {ContractHistoryKey(order_.customer, NewVersion()), value},
+      {ChangeKey(revision_), EncodeChange({order_.customer, NewVersion()})},
+      {kRevisionKey, std::to_string(revision_.value())}};
+  return {SendTransaction{std::move(call)}};
+}
+
+std::vector<ContractAction> ContractPut::OnReadFailed() {
+  if (maybe_applied_) return Finish(PutUnknown{});
+  return Finish(
+      PutRejected{{ErrorKind::kStoreUnavailable,
+                   "the table service did not answer; nothing was changed"},
+                  {.customer = order_.customer}});
+}
+
+std::vector<ContractAction> ContractPut::OnTransactReply(
+    const TransactReply& reply) {
+  if (reply.committed) return Finish(PutDone{NewVersion(), revision_});
+  // A failed check of this try says nothing about an earlier try whose answer
+  // was lost: that one may be the reason for it.
+  return maybe_applied_ ? ReadBack() : ReadBase();
+}
+
+std::vector<ContractAction> ContractPut::OnTransactNotApplied() {
+  return OnReadFailed();
+}
+
+std::vector<ContractAction> ContractPut::OnTransactUnknown() {
+  maybe_applied_ = true;
+  return ReadBack();
+}
+
+std::vector<ContractAction> ContractPut::Finish(ContractAction action) {
+  phase_ = Phase::kDone;
+  std::vector<ContractAction> actions;
+  actions.push_back(std::move(action));
+  return actions;
+}
+
+}  // namespace gypsumfall
--- a/gypsumfall/protocol/protocol.h
+++ b/gypsumfall/protocol/protocol.h
@@ -13,6 +13,7 @@
 /// @endcode
 
 #include "gypsumfall/protocol/internal/codec.h"
+#include "gypsumfall/protocol/internal/peer_messages.h"
 #include "gypsumfall/protocol/internal/table_messages.h"
 #include "gypsumfall/protocol/internal/worker_messages.h"
 
