--- a/gypsumfall/protocol/internal/peer_messages.h
+++ b/gypsumfall/protocol/internal/peer_messages.h
@@ -15,6 +15,7 @@
 /// authenticated the customer.
 struct ForwardedCall {
   EntryHostId from;
+  /// "GET", "POST" or "DELETE".
   std::string method;
   /// Path and query.
   std::string target;
@@ -27,6 +28,30 @@
   std::string body;
 };
 
+/// A request that its entry host has no room for. The sender has admitted it.
+struct ForwardedRequest {
+  EntryHostId from;
+  /// Names this forwarding; also used to ask for its outcome.
+  ExchangeId exchange;
+  CustomerId customer;
+  RequestId id;
+  KindId kind;
+  std::string payload;
+  /// Time left until the caller's deadline.
+  Duration time_left{0};
+  /// Only asks for the outcome of an earlier call.
+  bool resolve_only = false;
+};
+
+struct ForwardedAnswer {
+  /// "no", "yes" or "unknown".
+  std::string was_run;
+  /// Fixed name of the error kind; empty if the request finished.
+  std::string error;
+  std::string detail;
+  std::string result;
+};
+
 /// Asks a worker owner for room for one attempt.
 struct ReserveCall {
   AttemptId id;
@@ -35,25 +60,39 @@
   std::vector<WorkerId> avoid;
 };
 
-/// Room on a worker, or nothing if the owner has none.
+/// Room on a worker, or none.
 struct ReserveReply {
   AttemptId id;
   /// Empty if there is no room.
   WorkerId worker;
   Incarnation incarnation;
-  /// A reading of the worker's clock that is not later than this reply.
+  /// A reading of the worker's clock, taken before this reply.
   WorkerTime clock;
-  /// Set if no worker of this owner could ever run it.
-  std::string never_fits;
 };
 
 /// Starts an attempt whose intent is durable, in the room reserved for it.
 struct PeerStartCall {
   WorkerId worker;
-  StartAttemptCall start;
+  Incarnation incarnation;
+  AttemptId id;
+  KindId kind;
+  Resources resources;
+  std::string payload;
+  std::string checkpoint;
+  Epoch task_epoch;
+  WorkerTime lease_until;
 };
 
-struct PeerStopCall {
+struct PeerStartReply {
+  AttemptId id;
+  /// Whether the outcome is not known; else `refused` and `clock` are valid.
+  bool unknown = false;
+  std::optional<RefusalReason> refused;
+  WorkerTime clock;
+};
+
+/// Names an attempt where it runs, to stop it or to acknowledge its outcome.
+struct PlacedAttempt {
   WorkerId worker;
   AttemptId id;
 };
@@ -64,27 +103,38 @@
   LeaseRenewal renewal;
 };
 
-/// What a task owner asks of one worker owner in one message.
+/// What the owner of one task partition asks of one worker owner.
 struct AttemptsCall {
   EntryHostId from;
+  std::int64_t partition = 0;
   std::vector<ReserveCall> reserve;
   std::vector<PeerStartCall> start;
-  std::vector<PeerStopCall> stop;
+  std::vector<PlacedAttempt> stop;
   std::vector<PeerRenewal> renew;
-  std::vector<PeerStopCall> acknowledge;
+  std::vector<PlacedAttempt> acknowledge;
+  /// Workers whose reports of the partition's attempts are wanted.
+  std::vector<WorkerId> query;
 };
 
-/// The state of one attempt with the worker it was reported by.
-struct PeerAttemptReport {
+/// Attempts of one task partition on one worker.
+struct WorkerReports {
   WorkerId worker;
   Incarnation incarnation;
   WorkerTime clock;
-  AttemptReport report;
+  std::vector<AttemptReport> attempts;
 };
 
 struct AttemptsReply {
   std::vector<ReserveReply> reserved;
-  std::vector<PeerAttemptReport> reports;
+  std::vector<PeerStartReply> started;
+  std::vector<WorkerReports> reports;
+};
+
+/// Pushed by a worker owner to a task owner when attempts have changed.
+struct AttemptsChanged {
+  EntryHostId from;
+  std::int64_t partition = 0;
+  WorkerReports reports;
 };
 
 }  // namespace gypsumfall
