Declare the settings and contract libraries

Other libraries build on these headers at once, so they come before the code. The INI reader is an own one because the parser of Boost.Program_options has no line numbers and libinih reports only the first faulty line.

--- /dev/null
+++ b/gypsumfall/contract/contract.h
@@ -0,0 +1,25 @@
+#ifndef GYPSUMFALL_CONTRACT_CONTRACT_H_
+#define GYPSUMFALL_CONTRACT_CONTRACT_H_
+
+/// @file
+/// Contracts of customers: the value, its text form, the differences between
+/// two of them, and the book of those in force on an entry host.
+///
+/// Example:
+/// @code
+///   Parsed<Contract> contract = ParseContract(text, "acme.ini");
+///   if (!contract) return Refuse(FaultsToString(contract.error()));
+///   contract->version = ContractVersion(3);
+///   book.Apply(*std::move(contract));
+///   auto caller = book.Authenticate(CustomerId("acme"), key);
+///   if (!caller) return Answer(caller.error());
+///   const KindRule* rule = (*caller)->FindKind(KindId("quick-check"));
+/// @endcode
+
+#include "gypsumfall/contract/internal/book.h"
+#include "gypsumfall/contract/internal/contract_value.h"
+#include "gypsumfall/contract/internal/diff.h"
+#include "gypsumfall/contract/internal/excess.h"
+#include "gypsumfall/contract/internal/parse.h"
+
+#endif  // GYPSUMFALL_CONTRACT_CONTRACT_H_
--- /dev/null
+++ b/gypsumfall/settings/internal/ini.h
@@ -0,0 +1,52 @@
+#ifndef GYPSUMFALL_SETTINGS_INTERNAL_INI_H_
+#define GYPSUMFALL_SETTINGS_INTERNAL_INI_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gypsumfall/settings/internal/fault.h"
+
+namespace gypsumfall {
+
+/// One "key = value" line.
+struct IniEntry {
+  std::string key;
+  std::string value;
+  int line = 0;
+};
+
+/// One "[name]" or "[name label]" section.
+struct IniSection {
+  std::string name;
+  /// Second word of the header, such as NAME in "[peer NAME]"; may be empty.
+  std::string label;
+  int line = 0;
+  std::vector<IniEntry> entries;
+
+  /// @return "[name]" or "[name label]".
+  std::string Header() const;
+};
+
+/// An INI text with line numbers, and the faults of its form.
+///
+/// This is an own reader because the libraries at hand lose what operators
+/// need: the config parser of Boost.Program_options has no line numbers and
+/// stops at the first fault, and libinih joins repeated sections and reports
+/// only the first faulty line.
+struct IniDocument {
+  std::string file;
+  std::vector<IniSection> sections;
+  std::vector<Fault> faults;
+};
+
+/// Reads sections, keys and values. Comments start with '#' or ';' at the
+/// start of a line. Values keep all other characters.
+/// @param text the INI text.
+/// @param file name that faults refer to.
+/// @return the document; malformed lines are among its faults.
+IniDocument ParseIni(std::string_view text, std::string_view file);
+
+}  // namespace gypsumfall
+
+#endif  // GYPSUMFALL_SETTINGS_INTERNAL_INI_H_
--- /dev/null
+++ b/gypsumfall/settings/internal/values.h
@@ -0,0 +1,77 @@
+#ifndef GYPSUMFALL_SETTINGS_INTERNAL_VALUES_H_
+#define GYPSUMFALL_SETTINGS_INTERNAL_VALUES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+#include "gypsumfall/base/base.h"
+
+namespace gypsumfall {
+
+/// A size in bytes.
+using ByteCount = StrongNumber<struct ByteCountTag, std::int64_t>;
+
+/// A secret that is never printed: it has no stream operator, and its text is
+/// reached by one explicit accessor.
+class Secret {
+ public:
+  Secret() = default;
+  explicit Secret(std::string value) : value_(std::move(value)) {}
+
+  /// @return the secret text; do not log it.
+  const std::string& reveal() const { return value_; }
+
+ private:
+  std::string value_;
+};
+
+/// An IP number and a TCP port.
+struct Endpoint {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  friend bool operator==(const Endpoint&, const Endpoint&) = default;
+
+  /// @return "ip:port", with an IPv6 number in brackets.
+  std::string ToString() const;
+};
+
+/// A value, or a message that says what is wrong and what to write instead.
+template <typename T>
+using ParsedValue = tl::expected<T, std::string>;
+
+/// Bounds of a value, both allowed.
+template <typename T>
+struct Range {
+  T min;
+  T max;
+};
+
+/// @param text a whole number without a unit.
+ParsedValue<std::int64_t> ParseInteger(std::string_view text,
+                                       Range<std::int64_t> range);
+/// @param text a decimal fraction such as "0.25".
+ParsedValue<double> ParseFraction(std::string_view text, Range<double> range);
+/// @param text a whole number with a unit: ms, s, min or h.
+ParsedValue<Duration> ParseDuration(std::string_view text,
+                                    Range<Duration> range);
+/// @param text a whole number with a unit: B, KiB, MiB or GiB.
+ParsedValue<ByteCount> ParseByteCount(std::string_view text,
+                                      Range<ByteCount> range);
+/// @param text "true" or "false" ("yes" and "no" are accepted too).
+ParsedValue<bool> ParseBool(std::string_view text);
+/// @param text "ip:port", for example "10.0.0.1:7000" or "[fd00::1]:7000".
+ParsedValue<Endpoint> ParseEndpoint(std::string_view text);
+/// @param text an id: 1 to 128 characters of A-Z a-z 0-9 . _ -
+ParsedValue<std::string> ParseId(std::string_view text);
+
+/// @return text such as "30s" that `ParseDuration` reads back.
+std::string FormatDuration(Duration duration);
+/// @return text such as "8KiB" that `ParseByteCount` reads back.
+std::string FormatByteCount(ByteCount size);
+
+}  // namespace gypsumfall
+
+#endif  // GYPSUMFALL_SETTINGS_INTERNAL_VALUES_H_
--- /dev/null
+++ b/gypsumfall/settings/settings.h
@@ -0,0 +1,26 @@
+#ifndef GYPSUMFALL_SETTINGS_SETTINGS_H_
+#define GYPSUMFALL_SETTINGS_SETTINGS_H_
+
+/// @file
+/// Settings of an entry host, and the INI reader that they share with
+/// contracts. All faults of a text are reported together, each with its line.
+///
+/// Example:
+/// @code
+///   auto settings = ParseEntrySettings(text, "entry.ini");
+///   if (!settings) {
+///     for (const Fault& fault : settings.error()) {
+///       std::cerr << fault.ToString() << "\n";
+///     }
+///     return 2;
+///   }
+///   Listen(settings->host.listen);
+/// @endcode
+
+#include "gypsumfall/settings/internal/entry_settings.h"
+#include "gypsumfall/settings/internal/fault.h"
+#include "gypsumfall/settings/internal/fields.h"
+#include "gypsumfall/settings/internal/ini.h"
+#include "gypsumfall/settings/internal/values.h"
+
+#endif  // GYPSUMFALL_SETTINGS_SETTINGS_H_
