Parse settings and contracts, and keep contracts in force

Operators have no manual, so a text is read to its end and every fault is reported with its line, what is allowed and what to write. Contracts are also checked for contradictions that would only show at run time, and the book applies a contract only if its version is greater, so a change never reverts.

--- /dev/null
+++ b/gypsumfall/contract/book.cc
@@ -0,0 +1,70 @@
+#include "gypsumfall/contract/internal/book.h"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace gypsumfall {
+namespace {
+
+// Compares with every digest, so that the time does not tell which one matched.
+bool MatchesAny(const std::vector<std::string>& digests,
+                const std::string& digest) {
+  bool matches = false;
+  for (const std::string& candidate : digests) {
+    const bool equal = ConstantTimeEquals(candidate, digest);
+    matches = matches || equal;
+  }
+  return matches;
+}
+
+}  // namespace
+
+bool ContractBook::Apply(Contract contract) {
+  if (contract.version <= VersionOf(contract.customer)) return false;
+  const CustomerId customer = contract.customer;
+  contracts_[customer] = std::make_shared<const Contract>(std::move(contract));
+  return true;
+}
+
+void ContractBook::AdvanceRevision(ContractRevision revision) {
+  revision_ = std::max(revision_, revision);
+}
+
+ContractPtr ContractBook::Find(const CustomerId& customer) const {
+  const auto found = contracts_.find(customer);
+  return found == contracts_.end() ? nullptr : found->second;
+}
+
+ContractVersion ContractBook::VersionOf(const CustomerId& customer) const {
+  const ContractPtr contract = Find(customer);
+  return contract == nullptr ? ContractVersion() : contract->version;
+}
+
+Result<ContractPtr> ContractBook::Authenticate(const CustomerId& customer,
+                                               std::string_view key) const {
+  // Matches no key, because a digest has no letter outside 0-9 and a-f.
+  static const std::vector<std::string> unmatched = {std::string(64, 'x')};
+  const std::string digest = KeyDigest(key);
+  ContractPtr contract = Find(customer);
+  const bool matches = MatchesAny(
+      contract == nullptr ? unmatched : contract->key_digests, digest);
+  if (contract == nullptr || !matches) {
+    return Fail(ErrorKind::kUnauthenticated,
+                "the customer is not known or the key is not one of its keys; "
+                "check the headers X-Customer and Authorization");
+  }
+  return contract;
+}
+
+std::vector<ContractPtr> ContractBook::All() const {
+  std::vector<ContractPtr> all;
+  all.reserve(contracts_.size());
+  for (const auto& [customer, contract] : contracts_) all.push_back(contract);
+  return all;
+}
+
+}  // namespace gypsumfall
--- /dev/null
+++ b/gypsumfall/contract/contract_value.cc
@@ -0,0 +1,53 @@
+#include "gypsumfall/contract/internal/contract_value.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "gypsumfall/contract/internal/limit_table.h"
+#include "gypsumfall/settings/settings.h"
+
+namespace gypsumfall {
+namespace {
+
+constexpr std::array kResourceRows = {
+    ResourceRow{"cpu", [](const Resources& r) { return r.cpu.value(); },
+                [](std::int64_t v) { return FormatMilliCores(MilliCores(v)); }},
+    ResourceRow{"memory", [](const Resources& r) { return r.memory.value(); },
+                [](std::int64_t v) { return FormatMebiBytes(MebiBytes(v)); }},
+    ResourceRow{"accelerators",
+                [](const Resources& r) { return r.accelerators.value(); },
+                [](std::int64_t v) { return std::to_string(v); }},
+};
+
+}  // namespace
+
+std::span<const ResourceRow> ResourceRows() { return kResourceRows; }
+
+std::string_view WorkShapeName(WorkShape shape) {
+  return shape == WorkShape::kTask ? "task" : "request";
+}
+
+std::string_view UrgencyClassName(UrgencyClass urgency) {
+  switch (urgency) {
+    case UrgencyClass::kUrgent:
+      return "urgent";
+    case UrgencyClass::kNormal:
+      return "normal";
+    case UrgencyClass::kPatient:
+      return "patient";
+  }
+  return "normal";
+}
+
+const KindRule* Contract::FindKind(const KindId& kind) const {
+  const auto rule = std::find_if(
+      kinds.begin(), kinds.end(),
+      [&](const KindRule& candidate) { return candidate.kind == kind; });
+  return rule == kinds.end() ? nullptr : &*rule;
+}
+
+}  // namespace gypsumfall
--- /dev/null
+++ b/gypsumfall/contract/parse.cc
@@ -0,0 +1,227 @@
+#include "gypsumfall/contract/internal/parse.h"
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "gypsumfall/contract/internal/contradictions.h"
+#include "gypsumfall/contract/internal/limit_table.h"
+
+namespace gypsumfall {
+namespace {
+
+using enum Presence;
+
+// Authentication compares with each digest, and lookups pass over all kinds.
+constexpr std::size_t kMaxKeyDigests = 16;
+constexpr std::size_t kMaxKinds = 256;
+constexpr std::size_t kDigestLength = 64;
+
+// The upper bounds are far above a deployment's size and keep sums in range.
+constexpr Range<std::int64_t> kCountRange{0, 10'000'000};
+constexpr Range<MilliCores> kCpuRange{MilliCores(0), MilliCores(1'000'000'000)};
+constexpr Range<MebiBytes> kMemoryRange{MebiBytes(0), MebiBytes(1 << 30)};
+constexpr Range<MilliCores> kKindCpuRange{MilliCores(1), kCpuRange.max};
+constexpr Range<MebiBytes> kKindMemoryRange{MebiBytes(1), kMemoryRange.max};
+constexpr Range<Duration> kDeadlineRange{milliseconds(1),
+                                         std::chrono::minutes(10)};
+// An owner confirms its row every 2 s; less than a few of these periods would
+// stop tasks at one late answer.
+constexpr Range<Duration> kContactRange{seconds(10), kMaxRunWithoutContact};
+
+auto Within(auto parse, auto range) {
+  return [parse, range](std::string_view text) { return parse(text, range); };
+}
+
+ParsedValue<WorkShape> ParseShape(std::string_view text) {
+  if (text == "request") return WorkShape::kRequest;
+  if (text == "task") return WorkShape::kTask;
+  return tl::unexpected(Quote(text) +
+                        " is not a shape; write request for work that is "
+                        "answered inline, or task for work that is queued");
+}
+
+ParsedValue<UrgencyClass> ParseUrgency(std::string_view text) {
+  for (const auto urgency :
+       {UrgencyClass::kUrgent, UrgencyClass::kNormal, UrgencyClass::kPatient}) {
+    if (text == UrgencyClassName(urgency)) return urgency;
+  }
+  return tl::unexpected(Quote(text) +
+                        " is not an urgency; write urgent, normal or patient");
+}
+
+// The message does not show the text: it may be the key itself.
+ParsedValue<std::string> ParseDigest(std::string_view text) {
+  std::string digest(text);
+  const bool valid =
+      digest.size() == kDigestLength &&
+      std::all_of(digest.begin(), digest.end(), [](unsigned char letter) {
+        return std::isxdigit(letter) != 0;
+      });
+  if (!valid) {
+    return tl::unexpected(std::string(
+        "a digest has 64 hexadecimal digits; write what \"gypsumfall key "
+        "digest\" prints, not the key"));
+  }
+  for (char& letter : digest) {
+    if (letter >= 'A' && letter <= 'F') letter += 'a' - 'A';
+  }
+  return digest;
+}
+
+std::string_view TrimBlanks(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  while (!text.empty() && text.back() == ' ') text.remove_suffix(1);
+  return text;
+}
+
+// Adds the digests of a comma list.
+ParsedValue<void> AddDigests(std::string_view text,
+                             std::vector<std::string>& digests) {
+  while (true) {
+    const std::size_t comma = std::min(text.find(','), text.size());
+    auto digest = ParseDigest(TrimBlanks(text.substr(0, comma)));
+    if (!digest) return tl::unexpected(std::move(digest.error()));
+    if (std::find(digests.begin(), digests.end(), *digest) != digests.end()) {
+      return tl::unexpected(
+          std::string("the same digest is given twice; remove one"));
+    }
+    if (digests.size() == kMaxKeyDigests) {
+      return tl::unexpected("there are more than " +
+                            std::to_string(kMaxKeyDigests) +
+                            " digests; remove those of old keys");
+    }
+    digests.push_back(*std::move(digest));
+    if (comma == text.size()) return {};
+    text.remove_prefix(comma + 1);
+  }
+}
+
+std::vector<Field> CustomerFields(Contract& contract) {
+  auto add = [&contract](std::string_view text) {
+    return AddDigests(text, contract.key_digests);
+  };
+  return {MakeField("id", kRequired, contract.customer, ParseId, "acme"),
+          {"key_digest", kRepeated, add, "<output of gypsumfall key digest>"}};
+}
+
+std::vector<Field> LimitFields(Limits& limits, Presence resources) {
+  std::vector<Field> fields = {
+      MakeField("cpu", resources, limits.resources.cpu,
+                Within(ParseMilliCores, kCpuRange), "4cores"),
+      MakeField("memory", resources, limits.resources.memory,
+                Within(ParseMebiBytes, kMemoryRange), "8GiB"),
+      MakeField("accelerators", kOptional, limits.resources.accelerators,
+                Within(ParseInteger, kCountRange)),
+  };
+  for (const LimitRow& row : kLimitRows) {
+    fields.push_back(MakeField(std::string(row.key), kOptional,
+                               limits.*row.member,
+                               Within(ParseInteger, kCountRange)));
+  }
+  return fields;
+}
+
+std::vector<Field> KindFields(KindRule& rule) {
+  return {
+      MakeField("shape", kRequired, rule.shape, ParseShape, "request"),
+      MakeField("idempotent", kOptional, rule.idempotent, ParseBool),
+      MakeField("resumable", kOptional, rule.resumable, ParseBool),
+      MakeField("cpu", kRequired, rule.resources.cpu,
+                Within(ParseMilliCores, kKindCpuRange), "500m"),
+      MakeField("memory", kRequired, rule.resources.memory,
+                Within(ParseMebiBytes, kKindMemoryRange), "256MiB"),
+      MakeField("accelerators", kOptional, rule.resources.accelerators,
+                Within(ParseInteger, kCountRange)),
+      MakeField("urgency", kOptional, rule.urgency, ParseUrgency),
+      MakeField("deadline", kOptional, rule.deadline,
+                Within(ParseDuration, kDeadlineRange)),
+      MakeField("run_without_contact", kOptional, rule.run_without_contact,
+                Within(ParseDuration, kContactRange)),
+  };
+}
+
+class ContractParser {
+ public:
+  explicit ContractParser(IniDocument document)
+      : document_(std::move(document)), faults_(document_.faults) {}
+
+  Parsed<Contract> Parse() && {
+    ReadAll();
+    // Contradictions are only meaningful between values that were all read.
+    if (faults_.empty()) FindContradictions(draft_, document_.file, faults_);
+    if (faults_.empty()) return std::move(draft_.contract);
+    SortFaults(faults_);
+    return tl::unexpected(std::move(faults_));
+  }
+
+ private:
+  void ReadAll() {
+    Contract& contract = draft_.contract;
+    const std::vector<SectionRule> rules = {
+        {"customer", false,
+         [&](const IniSection& section) {
+           Read(section, CustomerFields(contract));
+         }},
+        {"guaranteed", false,
+         [&](const IniSection& section) {
+           draft_.guaranteed = section;
+           Read(section, LimitFields(contract.guaranteed, kOptional));
+         }},
+        {"ceiling", false,
+         [&](const IniSection& section) { ReadCeiling(section); }},
+        {"kind", true, [&](const IniSection& section) { ReadKind(section); }},
+    };
+    ReadSections(document_, rules, faults_);
+  }
+
+  void Read(const IniSection& section, const std::vector<Field>& fields) {
+    ReadFields(section, fields, document_.file, faults_);
+  }
+
+  void ReadCeiling(const IniSection& section) {
+    Limits& ceiling = draft_.contract.ceiling;
+    draft_.ceiling = section;
+    Read(section, LimitFields(ceiling, kRequired));
+    if (!section.Has("burst")) ceiling.burst = ceiling.requests_per_second;
+  }
+
+  void ReadKind(const IniSection& section) {
+    if (draft_.kinds.size() == kMaxKinds) {
+      AddFault(faults_, document_.file, section.line,
+               "there are more than " + std::to_string(kMaxKinds) +
+                   " kinds; remove those that are not used");
+      return;
+    }
+    KindRule rule;
+    rule.kind = KindId(section.label);
+    Read(section, KindFields(rule));
+    SetDefaults(section, rule);
+    draft_.kinds.push_back(section);
+    draft_.contract.kinds.push_back(std::move(rule));
+  }
+
+  static void SetDefaults(const IniSection& section, KindRule& rule) {
+    if (rule.shape == WorkShape::kRequest && !section.Has("deadline")) {
+      rule.deadline = kDefaultDeadline;
+    }
+    if (rule.shape == WorkShape::kTask && !section.Has("run_without_contact")) {
+      rule.run_without_contact = kDefaultRunWithoutContact;
+    }
+  }
+
+  IniDocument document_;
+  std::vector<Fault> faults_;
+  ContractDraft draft_;
+};
+
+}  // namespace
+
+Parsed<Contract> ParseContract(std::string_view text, std::string_view file) {
+  return ContractParser(ParseIni(text, file)).Parse();
+}
+
+}  // namespace gypsumfall
--- /dev/null
+++ b/gypsumfall/settings/entry_settings.cc
@@ -0,0 +1,236 @@
+#include "gypsumfall/settings/internal/entry_settings.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "gypsumfall/settings/internal/fields.h"
+#include "gypsumfall/settings/internal/ini.h"
+#include "gypsumfall/settings/internal/overrides.h"
+
+namespace gypsumfall {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::minutes;
+using enum Presence;
+
+constexpr std::array<std::string_view, 5> kLevelNames = {
+    "trace", "debug", "info", "warning", "error"};
+
+constexpr const char* kKeyExample = "<at least 16 characters>";
+
+constexpr Range<ByteCount> kBodyRange{ByteCount(1 << 10), ByteCount(64 << 20)};
+constexpr Range<ByteCount> kHeaderRange{ByteCount(1 << 10),
+                                        ByteCount(64 << 10)};
+constexpr Range<std::int64_t> kConnectionRange{8, 100'000};
+constexpr Range<Duration> kHeaderTimeoutRange{milliseconds(100), minutes(1)};
+constexpr Range<std::int64_t> kUrgentSlotRange{0, 8};
+constexpr Range<std::int64_t> kPartitionRange{1, 1024};
+// Leases are renewed every 10 s; a shorter one would lapse in between.
+constexpr Range<Duration> kLeaseRange{seconds(15), minutes(10)};
+constexpr Range<Duration> kRetentionRange{minutes(1), hours(24 * 7)};
+constexpr Range<std::int64_t> kBudgetRange{1, 100'000};
+constexpr Range<double> kWeightRange{0, 1};
+
+ParsedValue<LogLevel> ParseLevel(std::string_view text) {
+  const auto name = std::find(kLevelNames.begin(), kLevelNames.end(), text);
+  if (name != kLevelNames.end()) {
+    return static_cast<LogLevel>(name - kLevelNames.begin());
+  }
+  return tl::unexpected(
+      Quote(text) +
+      " is not a level; write trace, debug, info, warning or error");
+}
+
+auto Within(auto parse, auto range) {
+  return [parse, range](std::string_view text) { return parse(text, range); };
+}
+
+std::vector<Field> Fields(HostSettings& host) {
+  return {
+      MakeField("id", kRequired, host.id, ParseId, "entry-1"),
+      MakeField("data_centre", kRequired, host.data_centre, ParseId, "dc-1"),
+      MakeField("listen", kRequired, host.listen, ParseEndpoint,
+                "10.0.0.1:7000")};
+}
+
+std::vector<Field> Fields(PlatformSettings& platform) {
+  return {MakeField("table_service", kRequired, platform.table_service,
+                    ParseEndpoint, "10.0.0.10:7100"),
+          MakeField("object_store", kRequired, platform.object_store,
+                    ParseEndpoint, "10.0.0.11:7100"),
+          MakeField("host_list", kRequired, platform.host_list, ParseEndpoint,
+                    "10.0.0.12:7100")};
+}
+
+std::vector<Field> Fields(PeerSettings& peer) {
+  return {
+      MakeField("address", kRequired, peer.address, ParseEndpoint,
+                "10.0.0.2:7000"),
+      MakeField("data_centre", kRequired, peer.data_centre, ParseId, "dc-1")};
+}
+
+std::vector<Field> Fields(KeySettings& keys) {
+  return {
+      MakeField("operator_key", kRequired, keys.operator_key, ParseSecret,
+                kKeyExample),
+      MakeField("peer_key", kRequired, keys.peer_key, ParseSecret, kKeyExample),
+      MakeField("worker_key", kRequired, keys.worker_key, ParseSecret,
+                kKeyExample)};
+}
+
+std::vector<Field> Fields(LimitSettings& limits) {
+  return {MakeField("max_body", kOptional, limits.max_body,
+                    Within(ParseByteCount, kBodyRange)),
+          MakeField("max_header", kOptional, limits.max_header,
+                    Within(ParseByteCount, kHeaderRange)),
+          MakeField("max_connections", kOptional, limits.max_connections,
+                    Within(ParseInteger, kConnectionRange)),
+          MakeField("header_timeout", kOptional, limits.header_timeout,
+                    Within(ParseDuration, kHeaderTimeoutRange)),
+          MakeField("urgent_slots", kOptional, limits.urgent_slots,
+                    Within(ParseInteger, kUrgentSlotRange))};
+}
+
+std::vector<Field> Fields(TaskSettings& tasks) {
+  return {MakeField("partitions", kOptional, tasks.partitions,
+                    Within(ParseInteger, kPartitionRange)),
+          MakeField("attempt_lease", kOptional, tasks.attempt_lease,
+                    Within(ParseDuration, kLeaseRange)),
+          MakeField("finished_retention", kOptional, tasks.finished_retention,
+                    Within(ParseDuration, kRetentionRange)),
+          MakeField("write_budget", kOptional, tasks.write_budget,
+                    Within(ParseInteger, kBudgetRange))};
+}
+
+std::vector<Field> Fields(WeightSettings& weights) {
+  const auto parse = Within(ParseFraction, kWeightRange);
+  return {MakeField("tail_latency", kOptional, weights.tail_latency, parse),
+          MakeField("throughput", kOptional, weights.throughput, parse),
+          MakeField("evictions", kOptional, weights.evictions, parse)};
+}
+
+std::vector<Field> Fields(LoggingSettings& logging) {
+  return {MakeField("level", kOptional, logging.level, ParseLevel)};
+}
+
+class SettingsParser {
+ public:
+  explicit SettingsParser(IniDocument document)
+      : document_(std::move(document)), faults_(std::move(document_.faults)) {}
+
+  Parsed<EntrySettings> Parse() && {
+    const std::vector<SectionRule> rules = {
+        Rule("host", settings_.host),
+        Rule("platform", settings_.platform),
+        {"peer", true, [this](const IniSection& peer) { ReadPeer(peer); }},
+        Rule("keys", settings_.keys),
+        Rule("limits", settings_.limits),
+        Rule("tasks", settings_.tasks),
+        Rule("weights", settings_.weights),
+        Rule("logging", settings_.logging),
+    };
+    ReadSections(document_, rules, faults_);
+    CheckAddresses();
+    CheckKeys();
+    CheckWeights();
+    if (faults_.empty()) return std::move(settings_);
+    SortFaults(faults_);
+    return tl::unexpected(std::move(faults_));
+  }
+
+ private:
+  template <typename Section>
+  SectionRule Rule(std::string name, Section& target) {
+    return {std::move(name), false, [this, &target](const IniSection& section) {
+              lines_[section.name] = section.line;
+              ReadFields(section, Fields(target), document_.file, faults_);
+            }};
+  }
+
+  void ReadPeer(const IniSection& section) {
+    PeerSettings peer;
+    peer.id = EntryHostId(section.label);
+    ReadFields(section, Fields(peer), document_.file, faults_);
+    settings_.peers.push_back(std::move(peer));
+    peer_lines_.push_back(section.LineOf("address"));
+  }
+
+  void Report(int line, std::string message) {
+    AddFault(faults_, document_.file, line, std::move(message));
+  }
+
+  // Two hosts under one name or address would take each other's messages.
+  void CheckAddresses() {
+    std::map<std::string, std::string> names;
+    names.emplace(settings_.host.listen.ToString(), "[host]");
+    for (std::size_t i = 0; i < settings_.peers.size(); ++i) {
+      const PeerSettings& peer = settings_.peers[i];
+      const std::string header = "[peer " + peer.id.str() + "]";
+      if (peer.id == settings_.host.id) {
+        Report(peer_lines_[i], header +
+                                   " has the id of this host; remove it, " +
+                                   "peers are the other entry hosts");
+      }
+      if (peer.address.port == 0) continue;
+      const auto [first, fresh] =
+          names.emplace(peer.address.ToString(), header);
+      if (fresh) continue;
+      Report(peer_lines_[i], header + " address: " + first->first +
+                                 " is the address of " + first->second +
+                                 " already; each host needs its own");
+    }
+  }
+
+  // One key for two uses would let a worker or a peer act as an operator.
+  void CheckKeys() {
+    const KeySettings& keys = settings_.keys;
+    const bool same = keys.operator_key.reveal() == keys.peer_key.reveal() ||
+                      keys.operator_key.reveal() == keys.worker_key.reveal() ||
+                      keys.peer_key.reveal() == keys.worker_key.reveal();
+    const bool all_set = !keys.operator_key.reveal().empty() &&
+                         !keys.peer_key.reveal().empty() &&
+                         !keys.worker_key.reveal().empty();
+    if (!same || !all_set) return;
+    Report(lines_["keys"],
+           "[keys] has the same key twice; operator_key, peer_key and "
+           "worker_key must differ");
+  }
+
+  void CheckWeights() {
+    const WeightSettings& weights = settings_.weights;
+    if (weights.tail_latency + weights.throughput + weights.evictions > 0) {
+      return;
+    }
+    Report(lines_["weights"],
+           "[weights] are all 0, so no goal counts; write a number above 0 for "
+           "at least one");
+  }
+
+  IniDocument document_;
+  std::vector<Fault> faults_;
+  EntrySettings settings_;
+  std::map<std::string, int> lines_;
+  std::vector<int> peer_lines_;
+};
+
+}  // namespace
+
+std::string_view LogLevelName(LogLevel level) {
+  return kLevelNames[static_cast<std::size_t>(level)];
+}
+
+Parsed<EntrySettings> ParseEntrySettings(
+    std::string_view text, std::string_view file,
+    const std::vector<std::string>& overrides) {
+  IniDocument document = ParseIni(text, file);
+  ApplyOverrides(overrides, document);
+  return SettingsParser(std::move(document)).Parse();
+}
+
+}  // namespace gypsumfall
--- /dev/null
+++ b/gypsumfall/settings/fields.cc
@@ -0,0 +1,171 @@
+#include "gypsumfall/settings/internal/fields.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace gypsumfall {
+namespace {
+
+// Names in this section are not shown: a secret that was wrapped into a second
+// line reads as a key.
+constexpr std::string_view kSecretSection = "keys";
+
+std::string Suggestion(std::string_view name,
+                       const std::vector<std::string>& allowed) {
+  const std::string nearest = NearestName(name, allowed);
+  std::string text;
+  if (!nearest.empty()) text = "; did you mean " + Quote(nearest) + "?";
+  return text + (nearest.empty() ? "; allowed: " : " Allowed: ") +
+         JoinNames(allowed);
+}
+
+// Points out a comment behind a value, which is read as a part of the value.
+std::string CommentHint(std::string_view value) {
+  const bool comment = value.find(" #") != std::string_view::npos ||
+                       value.find(" ;") != std::string_view::npos;
+  return comment ? "; a comment needs a line of its own" : "";
+}
+
+class FieldReader {
+ public:
+  FieldReader(const IniSection& section, const std::vector<Field>& fields,
+              const std::string& file, std::vector<Fault>& faults)
+      : section_(section), fields_(fields), file_(file), faults_(faults) {}
+
+  void Read() {
+    for (const IniEntry& entry : section_.entries) ReadEntry(entry);
+    for (const Field& field : fields_) CheckPresent(field);
+  }
+
+ private:
+  void Report(int line, std::string message, bool from_command_line = false) {
+    AddFault(faults_, from_command_line ? kCommandLine : file_, line,
+             std::move(message));
+  }
+
+  void ReadEntry(const IniEntry& entry) {
+    const bool from_command_line = entry.line == 0;
+    const auto field =
+        std::find_if(fields_.begin(), fields_.end(),
+                     [&](const Field& f) { return f.key == entry.key; });
+    if (field == fields_.end()) {
+      Report(entry.line, UnknownKey(entry.key), from_command_line);
+      return;
+    }
+    const auto [first, fresh] = first_lines_.emplace(entry.key, entry.line);
+    if (!fresh && field->presence != Presence::kRepeated) {
+      Report(
+          entry.line,
+          section_.Header() + " " + entry.key + " is given again, first on " +
+              (first->second == 0 ? std::string("the command line")
+                                  : "line " + std::to_string(first->second)) +
+              "; keep one of the lines",
+          from_command_line);
+      return;
+    }
+    if (const auto stored = field->store(entry.value); !stored) {
+      Report(entry.line,
+             section_.Header() + " " + entry.key + ": " + stored.error() +
+                 CommentHint(entry.value),
+             from_command_line);
+    }
+  }
+
+  std::string UnknownKey(const std::string& key) const {
+    std::vector<std::string> names;
+    for (const Field& field : fields_) names.push_back(field.key);
+    if (section_.name == kSecretSection) {
+      return "unknown key in " + section_.Header() +
+             "; allowed: " + JoinNames(names);
+    }
+    return "unknown key " + Quote(key) + " in " + section_.Header() +
+           Suggestion(key, names);
+  }
+
+  void CheckPresent(const Field& field) {
+    if (field.presence == Presence::kOptional) return;
+    if (first_lines_.contains(field.key)) return;
+    std::string message = section_.Header() + " " + field.key +
+                          " is missing; write \"" + field.key + " = " +
+                          field.example + "\" below " + section_.Header();
+    Report(section_.line, std::move(message));
+  }
+
+  const IniSection& section_;
+  const std::vector<Field>& fields_;
+  const std::string& file_;
+  std::vector<Fault>& faults_;
+  std::map<std::string, int> first_lines_;
+};
+
+std::vector<std::string> SectionNames(const std::vector<SectionRule>& rules) {
+  std::vector<std::string> names;
+  names.reserve(rules.size());
+  for (const SectionRule& rule : rules) names.push_back(rule.name);
+  return names;
+}
+
+// @return what is wrong with the label of a header; empty if nothing is.
+std::string LabelFault(const IniSection& section, const SectionRule& rule) {
+  if (!rule.labelled) {
+    if (section.label.empty()) return {};
+    return "[" + rule.name + "] takes no name; write [" + rule.name + "]";
+  }
+  if (section.label.empty()) {
+    return "[" + rule.name + "] needs a name; write for example [" + rule.name +
+           " a1]";
+  }
+  const auto id = ParseId(section.label);
+  return id ? std::string() : "[" + rule.name + " NAME]: " + id.error();
+}
+
+}  // namespace
+
+void ReadFields(const IniSection& section, const std::vector<Field>& fields,
+                const std::string& file, std::vector<Fault>& faults) {
+  FieldReader(section, fields, file, faults).Read();
+}
+
+void ReadSections(const IniDocument& document,
+                  const std::vector<SectionRule>& rules,
+                  std::vector<Fault>& faults) {
+  std::map<std::string, int> first_lines;
+  const auto report = [&](const IniSection& section, std::string message) {
+    AddFault(faults, section.line == 0 ? kCommandLine : document.file,
+             section.line, std::move(message));
+  };
+  for (const IniSection& section : document.sections) {
+    const auto rule = std::find_if(
+        rules.begin(), rules.end(),
+        [&](const SectionRule& r) { return r.name == section.name; });
+    if (rule == rules.end()) {
+      report(section, "unknown section " + Quote(section.Header()) +
+                          Suggestion(section.name, SectionNames(rules)));
+      continue;
+    }
+    const auto [first, fresh] =
+        first_lines.emplace(section.Header(), section.line);
+    if (!fresh) {
+      report(section, section.Header() + " is given again, first on line " +
+                          std::to_string(first->second) +
+                          "; move its keys there");
+      continue;
+    }
+    if (std::string fault = LabelFault(section, *rule); !fault.empty()) {
+      first_lines.emplace("[" + rule->name + "]", section.line);
+      report(section, std::move(fault));
+      continue;
+    }
+    rule->read(section);
+  }
+  for (const SectionRule& rule : rules) {
+    const bool given = first_lines.contains("[" + rule.name + "]");
+    if (!rule.labelled && !given) rule.read({rule.name, {}, 0, {}});
+  }
+}
+
+}  // namespace gypsumfall
--- a/gypsumfall/settings/internal/entry_settings.h
+++ b/gypsumfall/settings/internal/entry_settings.h
@@ -12,9 +12,6 @@
 
 namespace gypsumfall {
 
-/// Least length of a key; shorter ones can be guessed.
-inline constexpr std::size_t kMinKeyLength = 16;
-
 /// Section [host].
 struct HostSettings {
   EntryHostId id;
@@ -97,6 +94,8 @@
 /// @param file name that faults refer to.
 /// @param overrides "section.key=value" pairs, or "peer.NAME.key=value", that
 ///     replace values of the text; faults in them refer to "command line".
+///     Values of [keys] are refused there, because a command line can be read
+///     by other users of the host.
 /// @return the settings, or all faults.
 Parsed<EntrySettings> ParseEntrySettings(
     std::string_view text, std::string_view file,
--- a/gypsumfall/settings/internal/fault.h
+++ b/gypsumfall/settings/internal/fault.h
@@ -1,6 +1,7 @@
 #ifndef GYPSUMFALL_SETTINGS_INTERNAL_FAULT_H_
 #define GYPSUMFALL_SETTINGS_INTERNAL_FAULT_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -26,6 +27,17 @@
 template <typename T>
 using Parsed = tl::expected<T, std::vector<Fault>>;
 
+/// Most faults that are kept of one text, which bounds the memory that a text
+/// without any valid line takes.
+inline constexpr std::size_t kMaxFaults = 1000;
+
+/// Appends a fault; beyond `kMaxFaults` it notes only that there are more.
+void AddFault(std::vector<Fault>& faults, std::string file, int line,
+              std::string message);
+
+/// Sorts faults by line; those without a line come last.
+void SortFaults(std::vector<Fault>& faults);
+
 /// @return the faults as lines of text.
 std::string FaultsToString(const std::vector<Fault>& faults);
 
@@ -36,6 +48,12 @@
 std::string NearestName(std::string_view name,
                         const std::vector<std::string>& allowed);
 
+/// @return text in double quotes, shortened, with control characters replaced.
+std::string Quote(std::string_view text);
+
+/// @return the names as "a, b and c".
+std::string JoinNames(const std::vector<std::string>& names);
+
 }  // namespace gypsumfall
 
 #endif  // GYPSUMFALL_SETTINGS_INTERNAL_FAULT_H_
--- a/gypsumfall/settings/internal/fields.h
+++ b/gypsumfall/settings/internal/fields.h
@@ -12,7 +12,8 @@
 
 namespace gypsumfall {
 
-/// How often a key may be given in its section.
+/// How often a key may be given in its section: at most once, once, or at
+/// least once.
 enum class Presence { kOptional, kRequired, kRepeated };
 
 /// One key of a section, with the function that parses and stores its value.
@@ -24,6 +25,9 @@
   std::string example;
 };
 
+/// File name of faults in values that were given on the command line.
+inline constexpr const char* kCommandLine = "command line";
+
 /// Reads the entries of a section by a list of fields; reports unknown,
 /// duplicate, missing and invalid keys.
 /// @param section the section as read.
@@ -33,6 +37,26 @@
 void ReadFields(const IniSection& section, const std::vector<Field>& fields,
                 const std::string& file, std::vector<Fault>& faults);
 
+/// One section that a text may have.
+struct SectionRule {
+  std::string name;
+  /// Whether the header has a label, as in "[peer NAME]". Such a section may
+  /// be given any number of times with different labels; others once.
+  bool labelled = false;
+  /// Reads a section. It is called for an absent section too, with line 0 and
+  /// no entries, unless the section is labelled.
+  std::function<void(const IniSection&)> read;
+};
+
+/// Calls the rule of each section; reports unknown and duplicate sections and
+/// wrong labels.
+/// @param document the document as read.
+/// @param rules the sections that it may have.
+/// @param faults receives the faults.
+void ReadSections(const IniDocument& document,
+                  const std::vector<SectionRule>& rules,
+                  std::vector<Fault>& faults);
+
 /// Makes a field that stores what a parser returns.
 /// @param parse function from text to `ParsedValue<T>`.
 /// @param target where a valid value is stored; must outlive the field.
@@ -43,7 +67,7 @@
                    std::string_view text) -> ParsedValue<void> {
     auto value = parse(text);
     if (!value) return tl::unexpected(std::move(value.error()));
-    target = T(*std::move(value));
+    target = static_cast<T>(*std::move(value));
     return {};
   };
   return {std::move(key), presence, std::move(store), std::move(example)};
--- a/gypsumfall/settings/internal/ini.h
+++ b/gypsumfall/settings/internal/ini.h
@@ -13,6 +13,7 @@
 struct IniEntry {
   std::string key;
   std::string value;
+  /// 0 if the entry comes from the command line.
   int line = 0;
 };
 
@@ -26,6 +27,10 @@
 
   /// @return "[name]" or "[name label]".
   std::string Header() const;
+  /// @return the line of a key, or that of the header if the key is absent.
+  int LineOf(std::string_view key) const;
+  /// @return whether the section has a key.
+  bool Has(std::string_view key) const;
 };
 
 /// An INI text with line numbers, and the faults of its form.
--- a/gypsumfall/settings/internal/values.h
+++ b/gypsumfall/settings/internal/values.h
@@ -10,6 +10,9 @@
 
 namespace gypsumfall {
 
+/// Least length of a secret; shorter ones can be guessed.
+inline constexpr std::size_t kMinKeyLength = 16;
+
 /// A size in bytes.
 using ByteCount = StrongNumber<struct ByteCountTag, std::int64_t>;
 
@@ -60,6 +63,13 @@
 /// @param text a whole number with a unit: B, KiB, MiB or GiB.
 ParsedValue<ByteCount> ParseByteCount(std::string_view text,
                                       Range<ByteCount> range);
+/// @param text a whole number with a unit: cores, core, or m for
+///     thousandths of a core.
+ParsedValue<MilliCores> ParseMilliCores(std::string_view text,
+                                        Range<MilliCores> range);
+/// @param text a whole number with a unit: MiB, GiB or TiB.
+ParsedValue<MebiBytes> ParseMebiBytes(std::string_view text,
+                                      Range<MebiBytes> range);
 /// @param text "true" or "false" ("yes" and "no" are accepted too).
 ParsedValue<bool> ParseBool(std::string_view text);
 /// @param text "ip:port", for example "10.0.0.1:7000" or "[fd00::1]:7000".
@@ -67,10 +77,19 @@
 /// @param text an id: 1 to 128 characters of A-Z a-z 0-9 . _ -
 ParsedValue<std::string> ParseId(std::string_view text);
 
-/// @return text such as "30s" that `ParseDuration` reads back.
+/// @param text a secret of `kMinKeyLength` or more visible characters. The
+///     message on a fault does not show it.
+ParsedValue<Secret> ParseSecret(std::string_view text);
+
+/// @return text such as "30s" that `ParseDuration` reads back; rounded down to
+///     milliseconds.
 std::string FormatDuration(Duration duration);
 /// @return text such as "8KiB" that `ParseByteCount` reads back.
 std::string FormatByteCount(ByteCount size);
+/// @return text such as "1500m" or "2cores" that `ParseMilliCores` reads back.
+std::string FormatMilliCores(MilliCores cpu);
+/// @return text such as "512MiB" that `ParseMebiBytes` reads back.
+std::string FormatMebiBytes(MebiBytes memory);
 
 }  // namespace gypsumfall
 
