--- /dev/null
+++ b/gypsumfall/tasks/tasks.h
@@ -0,0 +1,156 @@
+#ifndef GYPSUMFALL_TASKS_TASKS_H_
+#define GYPSUMFALL_TASKS_TASKS_H_
+
+/// @file
+/// State machine of the durable tasks of one task partition.
+///
+/// A task's state changes only when the record of the change is durable, and
+/// the same function applies a record when it becomes durable and when it is
+/// recovered. So the state in memory is always that of the journal, and
+/// `Snapshot()` may be taken at any time between calls.
+///
+/// Example:
+/// @code
+///   TaskTable table({.epoch = epoch});
+///   TaskActions actions = table.Restore(snapshot, records, takeover_time);
+///   table.OnAuthorityConfirmed(host_row_sent_at);
+///   TaskDecision decision = table.Submit(key, spec, payload, limits, now);
+///   for (const TaskAction& action : table.Tick(now)) Perform(action);
+/// @endcode
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gypsumfall/base/base.h"
+#include "gypsumfall/protocol/protocol.h"
+#include "gypsumfall/tasks/internal/task_types.h"
+
+namespace gypsumfall {
+
+/// Settings of a task table.
+struct TaskTableOptions {
+  /// Epoch of the partition; workers refuse lower ones per attempt.
+  Epoch epoch;
+  /// Lease of an attempt on its worker's clock.
+  Duration attempt_lease = seconds(30);
+  /// Added to the lease's end for differing clock rates.
+  Duration lease_margin = seconds(2);
+  Duration renew_interval = seconds(10);
+  /// Commands without a conclusive answer are sent again after this.
+  Duration resend_interval = seconds(2);
+  /// A reservation request without answer counts as refused after this.
+  Duration reservation_timeout = seconds(5);
+  /// Wait after a refused reservation; doubles up to the longest.
+  Duration first_backoff = milliseconds(100);
+  Duration longest_backoff = seconds(5);
+  /// Ended tasks are kept this long and at most this many per customer.
+  Duration retention = std::chrono::hours(24);
+  std::size_t max_ended_per_customer = 1000;
+  std::size_t max_tasks = 100000;
+  /// A task is failed after this many attempts that its worker reports failed.
+  int max_failed_attempts = 3;
+  /// Most reservations requested and queue entries examined per `Tick`.
+  std::size_t reservations_per_tick = 64;
+  /// Longest payload, checkpoint or result that fits into a journal row.
+  std::size_t max_text_bytes = 30000;
+};
+
+/// The tasks of one owned partition.
+class TaskTable {
+ public:
+  explicit TaskTable(TaskTableOptions options);
+  ~TaskTable();
+  TaskTable(TaskTable&&) noexcept;
+  TaskTable& operator=(TaskTable&&) noexcept;
+
+  /// Takes over a partition. Attempts that the records show as started are
+  /// adopted when their worker reports them.
+  /// @param snapshot text of `Snapshot()`; empty without a snapshot.
+  /// @param records the journal's records after the snapshot, in order.
+  /// @param takeover_time time after which the previous owner's host row was
+  ///     certainly not confirmed again.
+  /// @return `kInternal` if a record is damaged.
+  Result<void> Restore(const std::string& snapshot,
+                       const std::vector<std::string>& records,
+                       Time takeover_time);
+
+  /// @return the durable state as text for `Restore`.
+  std::string Snapshot() const;
+
+  /// Accepts a task, once durable. The same id with the same kind and payload
+  /// returns the same task; with others it is a `kConflict`.
+  /// @param limits the customer's limits; `limits.running` is kept for `Tick`.
+  TaskDecision Submit(const TaskKey& key, const TaskSpec& spec,
+                      std::string payload, const TaskLimits& limits, Time now);
+  /// Requests cancellation; it is in force once durable.
+  TaskDecision Cancel(const TaskKey& key, Time now);
+  /// Stops the running attempt at its last checkpoint and queues the task
+  /// again. Does nothing if `id` is not the current attempt.
+  TaskActions Evict(const AttemptId& id, Time now);
+  /// Changes a customer's limits, as after a contract change.
+  void SetLimits(const CustomerId& customer, const TaskLimits& limits);
+
+  /// @return the status, or `kNotFound`.
+  Result<TaskStatus> Status(const TaskKey& key) const;
+  /// @return the statuses of a customer's tasks, at most `limit`, in id order.
+  std::vector<TaskStatus> List(const CustomerId& customer,
+                               std::size_t limit) const;
+
+  /// A record is durable.
+  TaskActions OnDurable(JournalTicket ticket, Time now);
+  /// Ownership is lost; whether the record is durable is not known.
+  TaskActions OnLost(JournalTicket ticket, Time now);
+  /// A record is certainly not durable.
+  TaskActions OnRefused(JournalTicket ticket, Time now, ErrorKind reason);
+
+  /// Answer to `RequestReservation`.
+  /// @param granted the worker with its incarnation and clock, or a refusal.
+  TaskActions OnReservation(const AttemptId& id,
+                            const Result<WorkerReading>& granted, Time now);
+  /// Answer to `StartAttempt`; the clock is used only if it was not refused.
+  TaskActions OnStartReply(const AttemptId& id, const StartAttemptReply& reply,
+                           Time now);
+  /// The answer to `StartAttempt` is lost.
+  TaskActions OnStartUnknown(const AttemptId& id, Time now);
+  /// Reports of a worker.
+  /// @param complete whether all attempts that the worker has of this partition
+  ///     are listed.
+  TaskActions OnReports(const WorkerReading& reading,
+                        const std::vector<AttemptReport>& reports,
+                        bool complete, Time now);
+  /// A worker answers with an incarnation; attempts of lower ones are over.
+  TaskActions OnIncarnationChanged(const WorkerId& worker,
+                                   Incarnation incarnation, Time now);
+
+  /// This host's row in the table service was renewed.
+  /// @param confirmed_at when the renewal was sent, so that no later observer
+  ///     can have seen the row lapse before it.
+  void OnAuthorityConfirmed(Time confirmed_at);
+
+  /// Places queued tasks, renews leases, sends unanswered commands again,
+  /// concludes attempts whose lease has ended and drops expired tasks.
+  TaskActions Tick(Time now);
+
+  /// Counts for metrics.
+  struct Counts {
+    std::size_t tasks = 0;
+    std::size_t queued = 0;
+    std::size_t attempts = 0;
+    std::size_t ended = 0;
+    std::uint64_t results_accepted = 0;
+    std::uint64_t late_reports = 0;
+  };
+  Counts counts() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace gypsumfall
+
+#endif  // GYPSUMFALL_TASKS_TASKS_H_
