--- a/gypsumfall/journal/journal.h
+++ b/gypsumfall/journal/journal.h
@@ -24,6 +24,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <random>
 #include <string>
 #include <variant>
@@ -89,10 +90,10 @@
 /// Settings of one journal.
 struct JournalOptions {
   int partition = 0;
-  /// Unique per host, incarnation and partition; tokens of batches start so.
-  std::string token_prefix;
+  /// Unique per host, incarnation, partition and epoch; batch tokens start so.
+  std::string token_prefix = {};
   /// Version of the row `part/<n>` that gives this host the partition.
-  RowVersion part_version;
+  RowVersion part_version = {};
   /// Shortest time between two commits.
   Duration commit_delay = milliseconds(20);
   /// Largest log row value, the table service's limit.
@@ -192,15 +193,21 @@
   bool IsCurrent(JournalCall call, Phase phase) const;
   JournalCall NewCall();
   Time RetryTime(int retries, Time now);
+  void ReserveCommit(Time now);
   void RefuseOverdue(Time now, JournalActions& actions);
   void StartCommit(Time now, JournalActions& actions);
+  std::string TakeBatch();
   void StartPointer(Time now, JournalActions& actions);
-  void Send(Time now, JournalActions& actions);
+  std::vector<std::string> RowsToDelete();
+  void PutObject(JournalActions& actions);
+  void Send(JournalActions& actions);
+  void SendLater(Time now);
   void ReadBack(JournalActions& actions);
-  void Resolve(Time now, JournalActions& actions);
-  void ResolvePointer(JournalActions& actions);
+  void Resolve(RowVersion version, Time now, JournalActions& actions);
+  void ResolvePointer(RowVersion version, JournalActions& actions);
   void Lose(JournalActions& actions);
-  bool HoldsOurs(const Row& row) const;
+  const std::string& CommitKey() const;
+  RowVersion ExpectedVersion() const;
 
   JournalOptions options_;
   JournalPosition position_;
@@ -210,9 +217,8 @@
   std::deque<Record> queue_;
   std::size_t queued_bytes_ = 0;
   std::uint64_t last_call_ = 0;
-  // Earliest time of the next commit; set while records wait.
-  bool commit_reserved_ = false;
-  Time commit_at_;
+  // Time of the next commit; set while records wait.
+  std::optional<Time> commit_at_;
   Time last_commit_;
   Commit commit_;
   SnapshotPhase snapshot_phase_ = SnapshotPhase::kNone;
--- a/gypsumfall/tasks/internal/task_types.h
+++ b/gypsumfall/tasks/internal/task_types.h
@@ -25,8 +25,8 @@
 
 /// What the contract's kind says about a task; kept with the task.
 struct TaskSpec {
-  KindId kind;
-  Resources resources;
+  KindId kind = {};
+  Resources resources = {};
   bool idempotent = true;
   /// Whether an interrupted attempt may be run again without a checkpoint even
   /// though the kind is not idempotent.
--- a/gypsumfall/tasks/tasks.h
+++ b/gypsumfall/tasks/tasks.h
@@ -34,7 +34,7 @@
 /// Settings of a task table.
 struct TaskTableOptions {
   /// Epoch of the partition; workers refuse lower ones per attempt.
-  Epoch epoch;
+  Epoch epoch = {};
   /// Lease of an attempt on its worker's clock.
   Duration attempt_lease = seconds(30);
   /// Added to the lease's end for differing clock rates.
