Add ownership of task partitions and membership

Partitions need one owner each through pauses, lost answers and outages of the table service, and work must stop for hosts that are silent or leaving. HostLease, TaskPartitions and Membership decide this from events alone. A row counts as unchanged only while answers keep coming, so an outage of the store lapses nobody.

--- a/gypsumfall/membership/membership.h
+++ b/gypsumfall/membership/membership.h
@@ -21,6 +21,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gypsumfall/base/base.h"
@@ -132,8 +133,8 @@
   /// The row of this incarnation has lapsed or ended.
   void OnHostLapsed(const EntryHostId& host, Incarnation incarnation, Time now);
 
-  /// Takes the platform's lagging host list. It marks workers as leaving or
-  /// gone, but never as alive against an earlier notice.
+  /// Takes the platform's lagging host list. It can mark workers as leaving
+  /// or gone, but never as alive against a notice of the worker itself.
   void OnHostList(std::span<const ListedHost> hosts, Time now);
   /// A worker answered a call.
   /// @param sent_at when the call was sent.
@@ -182,11 +183,9 @@
     bool timed_out = false;
     /// Its row has lapsed for this incarnation.
     std::optional<Incarnation> lapsed;
-    /// Announced its stop before it fell silent.
-    bool announced = false;
     bool preferred = false;
     int flaps = 0;
-    Time alive_since;
+    Time known_since;
     Time next_heartbeat;
   };
   struct WorkerEntry {
@@ -199,6 +198,7 @@
     bool refused = false;
     bool timed_out = false;
     bool listed_live = true;
+    bool listed_leaving = false;
   };
 
   void TakeSummary(const HostSummary& summary, bool direct, Time now);
@@ -207,6 +207,7 @@
   HostState StateOf(const Peer& peer, Time now) const;
   HostState StateOfWorker(const WorkerEntry& worker, Time now) const;
   void RecordFlap(Peer& peer, Time now);
+  std::vector<EntryHostId> HeartbeatSet() const;
 
   MembershipSettings settings_;
   bool leaving_ = false;
--- a/gypsumfall/ownership/internal/host_lease.h
+++ b/gypsumfall/ownership/internal/host_lease.h
@@ -87,7 +87,7 @@
                                            const TransactReply& reply);
   std::vector<HostLeaseAction> OnConflict(const Pending& call, const Row& row,
                                           Time now);
-  std::vector<HostLeaseAction> Lose(const Row& row, Time now);
+  std::vector<HostLeaseAction> Lose(Time now);
 
   HostIdentity identity_;
   HostLeaseSettings settings_;
--- a/gypsumfall/ownership/internal/task_partitions.h
+++ b/gypsumfall/ownership/internal/task_partitions.h
@@ -39,6 +39,8 @@
   int rows_per_transaction = 16;
   /// Least time between two transactions of this host.
   Duration transact_interval = milliseconds(200);
+  /// Most keys of one read besides the watched rows.
+  int max_extra_reads = 32;
   /// A better owner must be preferred for this long before a hand-over.
   Duration handover_delay = seconds(5);
   /// Without an answer for this long a call counts as lost.
@@ -136,66 +138,84 @@
   Duration ScanInterval() const;
 
  private:
-  enum class Purpose { kWatch, kScanHosts, kScanPartitions, kTransact };
   struct Call {
-    Purpose purpose = Purpose::kWatch;
     Time sent_at;
+    /// Keys to be read again if the answer is lost.
     std::vector<std::string> keys;
-    std::vector<PartitionRow> puts;
+    std::vector<RowPut> puts;
+    /// Prefix of a scan; empty for other calls.
+    std::string scan_prefix;
   };
   struct Partition {
     std::optional<PartitionView> view;
     bool owned = false;
-    bool known_absent = false;
+    /// A scan has shown that there is no row yet.
+    bool absent = false;
     bool preparing = false;
     bool ready = false;
-    bool in_transaction = false;
+    /// Given up without a successor because this host stops.
+    bool released = false;
     std::optional<Time> orphan_since;
     std::optional<Time> better_since;
   };
-  struct WatchedHost {
-    std::optional<HostRow> row;
+  struct KnownHost {
+    HostRow row;
     RowVersion version;
     /// Since when answers have shown this version without a gap.
     Time unchanged_since;
     Time last_answer;
-    bool in_transaction = false;
+    /// When the call was sent whose answer last showed this version.
+    Time last_sent;
   };
 
   std::string NewToken();
+  bool MayTransact(Time now) const;
+  std::vector<EntryHostId> Watched() const;
   void SendWatch(Time now, PartitionActions& out);
   void SendScans(Time now, PartitionActions& out);
+  void SendOneScan(const std::string& prefix, const std::string& after,
+                   Time now, PartitionActions& out);
+  void SendTransaction(TransactCall call, Time now, PartitionActions& out);
+  void ExpireCalls(Time now);
+  void ReadAgain(const Call& call);
+  void AddRead(const std::string& key);
+
+  bool OwnedByDead(const PartitionRow& row);
+  bool ShouldClaim(const PartitionId& id, Partition& partition,
+                   std::span<const EntryHostId> preferred, Time now);
+  void AddPut(const PartitionId& id, const EntryHostId& owner,
+              Incarnation incarnation, TransactCall& call) const;
+  void SendLapse(std::span<const EntryHostId> preferred, Time now,
+                 PartitionActions& out);
   void SendClaims(std::span<const EntryHostId> preferred, Time now,
                   PartitionActions& out);
-  void SendLapses(std::span<const EntryHostId> preferred, Time now,
-                  PartitionActions& out);
   void SendHandOvers(std::span<const EntryHostId> preferred, Time now,
                      PartitionActions& out);
-  void SendTransaction(TransactCall call, std::vector<PartitionRow> puts,
-                       Time now, PartitionActions& out);
-  void ExpireCalls(Time now);
-  void FinishCall(const Call& call, bool unresolved);
-  void AddClaim(const PartitionId& partition, TransactCall& call,
-                std::vector<PartitionRow>& puts);
-  void TakeRow(const Row& row, Time now, PartitionActions& out);
-  void TakeHostRow(const EntryHostId& host, const Row& row, Time now,
-                   PartitionActions& out);
-  void TakePartitionRow(const PartitionId& partition, const Row& row,
+  std::optional<EntryHostId> BetterOwner(
+      const PartitionId& id, std::span<const EntryHostId> preferred) const;
+  void UpdateRelease(const PartitionId& id, Partition& partition,
+                     const std::optional<EntryHostId>& better, Time now,
+                     PartitionActions& out);
+
+  void TakeRow(const Row& row, Time sent_at, Time now, PartitionActions& out);
+  void TakeHostRow(const EntryHostId& host, const Row& row, Time sent_at,
+                   Time now, PartitionActions& out);
+  void TakePartitionRow(const PartitionId& id, const Row& row,
                         PartitionActions& out);
-  bool OwnedByDead(const PartitionRow& row) const;
-  bool MayTransact(Time now) const;
-  bool ShouldClaim(const PartitionId& id, Partition& partition,
-                   std::span<const EntryHostId> preferred, Time now) const;
-  std::vector<EntryHostId> Watched() const;
+  void FinishScan(const Call& call, const RowsReply& reply, Time now,
+                  PartitionActions& out);
+  void Drop(const PartitionId& id, Partition& partition, PartitionActions& out);
 
   TaskPartitionsSettings settings_;
   std::optional<Incarnation> incarnation_;
   bool stopping_ = false;
-  bool scanned_hosts_ = false;
   std::uint64_t calls_ = 0;
+  /// The transaction in flight; at most one, so that no two of them put the
+  /// same rows.
+  std::string transaction_;
   std::map<std::string, Call> pending_;
   std::map<PartitionId, Partition> partitions_;
-  std::map<EntryHostId, WatchedHost> hosts_;
+  std::map<EntryHostId, KnownHost> hosts_;
   std::vector<std::string> read_next_;
   Time next_watch_;
   Time next_scan_;
