--- /dev/null
+++ b/gypsumfall/telemetry/telemetry.h
@@ -0,0 +1,175 @@
+#ifndef GYPSUMFALL_TELEMETRY_TELEMETRY_H_
+#define GYPSUMFALL_TELEMETRY_TELEMETRY_H_
+
+/// @file
+/// Logging and metrics. A log line is "time=... level=... component=...
+/// msg=\"...\" key=value ...". Secrets can not be logged: `Secret` has no
+/// stream operator and `Field` does not accept it.
+///
+/// Example:
+/// @code
+///   SetUpLogging({.level = LogLevel::kInfo});
+///   const Logger log("fleet");
+///   log.Info("worker attached", {{"worker", id}, {"epoch", epoch}});
+///
+///   Metrics metrics;
+///   Counter& answers = metrics.AddCounter("answers", {{"was_run", "no"}});
+///   answers.Add();
+///   std::string page = metrics.Export();
+/// @endcode
+
+#include <atomic>
+#include <cstdint>
+#include <initializer_list>
+#include <iosfwd>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "gypsumfall/base/base.h"
+
+namespace gypsumfall {
+
+/// A key or password. It converts to text only by Reveal, and has no stream
+/// operator, so that it never reaches a log by accident.
+class Secret {
+ public:
+  Secret() = default;
+  explicit Secret(std::string value) : value_(std::move(value)) {}
+
+  /// @return the plain text, for the one place that sends or compares it.
+  const std::string& Reveal() const { return value_; }
+  bool empty() const { return value_.empty(); }
+
+ private:
+  std::string value_;
+};
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+/// @return "debug", "info", "warning" or "error".
+std::string_view LogLevelName(LogLevel level);
+
+struct LogSettings {
+  LogLevel level = LogLevel::kInfo;
+  /// Where lines go; standard error if null. Must outlive the process's logs.
+  std::ostream* stream = nullptr;
+};
+
+/// Sets up the process's log. A second call replaces the first.
+void SetUpLogging(const LogSettings& settings);
+
+/// One key=value pair of a log line.
+struct Field {
+  /// @tparam T any type with a stream operator.
+  template <typename T>
+  requires requires(std::ostream& out, const T& value) { out << value; }
+  Field(std::string_view field_key, const T& field_value)
+      : key(field_key), value(Text(field_value)) {}
+
+  std::string_view key;
+  std::string value;
+
+ private:
+  template <typename T>
+  static std::string Text(const T& value) {
+    if constexpr (std::is_convertible_v<const T&, std::string_view>) {
+      return std::string(std::string_view(value));
+    } else {
+      std::ostringstream out;
+      out << value;
+      return std::move(out).str();
+    }
+  }
+};
+
+using Fields = std::initializer_list<Field>;
+
+/// Writes log lines of one component. Thread-safe.
+class Logger {
+ public:
+  explicit Logger(std::string component) : component_(std::move(component)) {}
+
+  void Debug(std::string_view message, Fields fields = {}) const;
+  void Info(std::string_view message, Fields fields = {}) const;
+  void Warning(std::string_view message, Fields fields = {}) const;
+  void Error(std::string_view message, Fields fields = {}) const;
+
+ private:
+  void Write(LogLevel level, std::string_view message, Fields fields) const;
+
+  std::string component_;
+};
+
+/// A number that only grows. Thread-safe.
+class Counter {
+ public:
+  void Add(std::uint64_t count = 1) {
+    value_.fetch_add(count, std::memory_order_relaxed);
+  }
+  std::uint64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<std::uint64_t> value_ = 0;
+};
+
+/// A number that is set. Thread-safe.
+class Gauge {
+ public:
+  void Set(double value) { value_.store(value, std::memory_order_relaxed); }
+  double value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<double> value_ = 0;
+};
+
+/// Durations from 1 us to 1000 s in buckets 5% wide. Thread-safe.
+class LatencyHistogram {
+ public:
+  LatencyHistogram();
+  ~LatencyHistogram();
+
+  void Record(Duration duration);
+  /// @return the upper bound of the bucket that holds the quantile, so at most
+  ///   5% too high; zero if nothing was recorded.
+  /// @param quantile from 0 to 1.
+  Duration Quantile(double quantile) const;
+  std::uint64_t count() const;
+  Duration sum() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Label names and values of one metric.
+using Labels = std::vector<std::pair<std::string, std::string>>;
+
+/// The metrics of one process. References stay valid as long as the registry.
+/// Thread-safe.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+
+  /// @return the counter of that name and labels, made on the first call.
+  Counter& AddCounter(const std::string& name, const Labels& labels = {});
+  Gauge& AddGauge(const std::string& name, const Labels& labels = {});
+  LatencyHistogram& AddLatency(const std::string& name,
+                               const Labels& labels = {});
+
+  /// @return all metrics in the Prometheus text format; latencies as summaries
+  ///   in seconds with the quantiles 0.5, 0.9, 0.99 and 0.999.
+  std::string Export() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace gypsumfall
+
+#endif  // GYPSUMFALL_TELEMETRY_TELEMETRY_H_
