--- a/gypsumfall/admission/admission.h
+++ b/gypsumfall/admission/admission.h
@@ -49,11 +49,11 @@
 };
 
 struct AdmissionSettings {
-  EntryHostId self;
+  EntryHostId self{};
   /// Distinguishes loans of this process from those of an earlier one.
-  Incarnation incarnation;
+  Incarnation incarnation{};
   /// All configured entry hosts, with this one, live or not.
-  std::vector<EntryHostId> hosts;
+  std::vector<EntryHostId> hosts{};
   /// How long a loan can be used, from the time the borrower asked.
   Duration loan_lease = seconds(3);
   /// Added by the lender, for clocks that run at slightly different rates.
--- a/gypsumfall/kernel/kernel.h
+++ b/gypsumfall/kernel/kernel.h
@@ -77,7 +77,8 @@
   ///   missing dependency or a cycle, in which case nothing was started.
   Result<void> Start();
   /// Stops the running services one after another in reverse order.
-  /// @param done called once when all are stopped.
+  /// @param done called once when all are stopped, at once if none runs. A
+  ///   second call meanwhile adds its callback to the same stop.
   void Stop(std::function<void()> done);
 
   /// @return the services in order of starting, or of registration before.
@@ -96,7 +97,9 @@
   void StopNext();
 
   std::vector<std::unique_ptr<Entry>> entries_;
-  std::function<void()> on_stopped_;
+  std::vector<std::function<void()>> on_stopped_;
+  /// Expires with the kernel, for callbacks that come later.
+  std::shared_ptr<char> life_;
   bool started_ = false;
   bool stopping_ = false;
 };
--- a/gypsumfall/requests/requests.h
+++ b/gypsumfall/requests/requests.h
@@ -6,7 +6,8 @@
 /// with workers, retries, timeouts and the resolution of unknown outcomes.
 ///
 /// The table decides and never calls out. Every event returns the actions that
-/// the entry host carries out, in order.
+/// the entry host carries out, in order. Actions that release room are followed
+/// by offers (Place) of waiting requests.
 ///
 /// Example:
 /// @code
@@ -73,6 +74,8 @@
   Resources resources;
   /// The caller is answered by this time.
   Time deadline;
+  /// False for a request that a peer has forwarded: it is forwarded once.
+  bool may_forward = true;
 };
 
 /// What a caller is told.
@@ -269,8 +272,8 @@
   RequestActions Tick(Time now);
   /// @return the earliest time at which Tick has something to do, if any.
   std::optional<Time> NextTick() const;
-  /// This host stops: refuses what waits (was_run no, `stopping`). Exchanges
-  /// in flight continue.
+  /// This host stops: refuses what waits and was never sent (was_run no,
+  /// `stopping`). Exchanges in flight, and their retries, continue.
   RequestActions RefuseWaiting(Time now);
 
   /// @return what is known of a request, unset if never seen or forgotten.
@@ -282,7 +285,7 @@
   /// @return requests whose callers have not been answered.
   std::size_t unanswered() const;
   std::size_t waiting() const;
-  const RequestCounters& counters() const;
+  RequestCounters counters() const;
   /// @return readable text of the state, at most about 50 lines.
   std::string Dump(Time now) const;
 
--- /dev/null
+++ b/gypsumfall/telemetry/histogram.cc
@@ -0,0 +1,86 @@
+#include <algorithm>
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/make_histogram.hpp>
+#include <boost/histogram/storage_adaptor.hpp>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <tuple>
+#include <vector>
+
+#include "gypsumfall/telemetry/telemetry.h"
+
+namespace gypsumfall {
+namespace {
+
+namespace bh = boost::histogram;
+
+// 1 us to 1000 s: ln(1e9) / ln(1.05) buckets are 5% wide.
+constexpr double kLowestUs = 1;
+constexpr double kHighestUs = 1e9;
+constexpr unsigned kBuckets = 425;
+
+auto MakeHistogram() {
+  using Axis = bh::axis::regular<double, bh::axis::transform::log>;
+  return bh::make_histogram_with(std::vector<std::uint64_t>(),
+                                 Axis(kBuckets, kLowestUs, kHighestUs));
+}
+
+}  // namespace
+
+class LatencyHistogram::Impl {
+ public:
+  void Record(Duration duration) {
+    const auto us = std::max<Duration::rep>(duration.count(), 0);
+    const std::lock_guard lock(mutex_);
+    histogram_(std::max(kLowestUs, static_cast<double>(us)));
+    ++count_;
+    sum_ += Duration(us);
+  }
+
+  Duration Quantile(double quantile) const {
+    const std::lock_guard lock(mutex_);
+    if (count_ == 0) return Duration::zero();
+    const auto rank = static_cast<std::uint64_t>(
+        std::ceil(quantile * static_cast<double>(count_)));
+    std::uint64_t seen = 0;
+    for (int i = 0; i < static_cast<int>(kBuckets); ++i) {
+      seen += histogram_.at(i);
+      if (seen >= std::max<std::uint64_t>(rank, 1)) {
+        return Duration(static_cast<Duration::rep>(
+            std::ceil(histogram_.axis().bin(i).upper())));
+      }
+    }
+    return Duration(static_cast<Duration::rep>(kHighestUs));
+  }
+
+  std::uint64_t count() const {
+    const std::lock_guard lock(mutex_);
+    return count_;
+  }
+
+  Duration sum() const {
+    const std::lock_guard lock(mutex_);
+    return sum_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  decltype(MakeHistogram()) histogram_ = MakeHistogram();
+  std::uint64_t count_ = 0;
+  Duration sum_ = Duration::zero();
+};
+
+LatencyHistogram::LatencyHistogram() : impl_(std::make_unique<Impl>()) {}
+LatencyHistogram::~LatencyHistogram() = default;
+
+void LatencyHistogram::Record(Duration duration) { impl_->Record(duration); }
+Duration LatencyHistogram::Quantile(double quantile) const {
+  return impl_->Quantile(quantile);
+}
+std::uint64_t LatencyHistogram::count() const { return impl_->count(); }
+Duration LatencyHistogram::sum() const { return impl_->sum(); }
+
+}  // namespace gypsumfall
--- /dev/null
+++ b/gypsumfall/telemetry/telemetry_test.cc
@@ -0,0 +1,109 @@
+#include "gypsumfall/telemetry/telemetry.h"
+
+#include <catch2/catch.hpp>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace gypsumfall {
+namespace {
+
+// Guards against a secret that reaches a log, a dump or an error text.
+template <typename T>
+concept Streamable = requires(std::ostream& out, const T& value) {
+  out << value;
+};
+static_assert(!Streamable<Secret>);
+static_assert(!std::is_constructible_v<Field, std::string_view, Secret>);
+static_assert(!std::is_convertible_v<Secret, std::string>);
+static_assert(!std::is_convertible_v<Secret, std::string_view>);
+
+std::string WithoutTime(const std::string& line) {
+  return line.substr(line.find(' ') + 1);
+}
+
+// Guards against values that forge lines or fields of the log.
+TEST_CASE("log lines keep each value in its field") {
+  struct Row {
+    std::string value;
+    std::string expected;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"w-1", "worker=w-1"},
+      {"", "worker=\"\""},
+      {"a b", "worker=\"a b\""},
+      {"x level=error", "worker=\"x level=error\""},
+      {"x\nlevel=error", "worker=\"x\\nlevel=error\""},
+      {"say \"hi\"", "worker=\"say \\\"hi\\\"\""},
+  }));
+  std::ostringstream out;
+  SetUpLogging({.level = LogLevel::kInfo, .stream = &out});
+  Logger("fleet").Info("attached", {{"worker", row.value}, {"epoch", 4}});
+  SetUpLogging({});
+  CHECK(out.str().starts_with("time="));
+  CHECK(WithoutTime(out.str()) ==
+        "level=info component=fleet msg=\"attached\" " + row.expected +
+            " epoch=4\n");
+}
+
+TEST_CASE("levels below the set one are not written") {
+  std::ostringstream out;
+  SetUpLogging({.level = LogLevel::kWarning, .stream = &out});
+  const Logger log("a");
+  log.Debug("1");
+  log.Info("2");
+  log.Warning("3");
+  log.Error("4");
+  SetUpLogging({});
+  CHECK(out.str().find("msg=\"2\"") == std::string::npos);
+  CHECK(out.str().find("level=warning component=a msg=\"3\"") !=
+        std::string::npos);
+  CHECK(out.str().find("msg=\"4\"") != std::string::npos);
+}
+
+// Guards against quantiles that are off by more than a bucket, and against
+// samples outside the range being lost.
+TEST_CASE("quantiles are at most one bucket too high") {
+  LatencyHistogram latency;
+  CHECK(latency.Quantile(0.5) == Duration::zero());
+  for (int us = 1; us <= 1000; ++us) latency.Record(Duration(us));
+  for (const double quantile : {0.1, 0.5, 0.9, 0.99, 0.999, 1.0}) {
+    const double exact = 1000 * quantile;
+    const auto estimate =
+        static_cast<double>(latency.Quantile(quantile).count());
+    CHECK(estimate >= exact);
+    CHECK(estimate <= 1.05 * exact + 1);
+  }
+  CHECK(latency.sum() == Duration(500'500));
+  LatencyHistogram extremes;
+  extremes.Record(Duration(-5));
+  extremes.Record(std::chrono::hours(2));
+  CHECK(extremes.count() == 2);
+  CHECK(extremes.Quantile(1) == std::chrono::seconds(1000));
+}
+
+// Guards against an export that a scraper can not parse.
+TEST_CASE("metrics are exported as text") {
+  Metrics metrics;
+  metrics.AddCounter("answers", {{"was_run", "no"}}).Add(2);
+  metrics.AddCounter("answers", {{"was_run", "no"}}).Add();
+  metrics.AddCounter("answers", {{"was_run", "a\"b\\\n"}}).Add();
+  metrics.AddGauge("workers").Set(65);
+  metrics.AddLatency("request", {{"class", "urgent"}}).Record(Duration(1));
+  const std::string text = metrics.Export();
+  for (const std::string_view line : {
+           "# TYPE gypsumfall_answers counter\n",
+           "gypsumfall_answers{was_run=\"no\"} 3\n",
+           "gypsumfall_answers{was_run=\"a\\\"b\\\\\\n\"} 1\n",
+           "gypsumfall_workers 65\n",
+           "# TYPE gypsumfall_request_seconds summary\n",
+           "gypsumfall_request_seconds{class=\"urgent\",quantile=\"0.999\"} ",
+           "gypsumfall_request_seconds_count{class=\"urgent\"} 1\n",
+       }) {
+    CHECK(text.find(line) != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace gypsumfall
