Give types of different libraries different names

Change: OwnershipTransact, OwnershipRead, OwnershipScan, JournalRefused and RequestRefused; Secret and LogLevel move to base; tasks are partitioned by customer.

--- a/gypsumfall/base/base.h
+++ b/gypsumfall/base/base.h
@@ -18,7 +18,9 @@
 #include "gypsumfall/base/internal/error.h"
 #include "gypsumfall/base/internal/hash.h"
 #include "gypsumfall/base/internal/ids.h"
+#include "gypsumfall/base/internal/log_level.h"
 #include "gypsumfall/base/internal/resources.h"
+#include "gypsumfall/base/internal/secret.h"
 #include "gypsumfall/base/internal/time.h"
 
 #endif  // GYPSUMFALL_BASE_BASE_H_
--- /dev/null
+++ b/gypsumfall/base/internal/secret.h
@@ -0,0 +1,26 @@
+#ifndef GYPSUMFALL_BASE_INTERNAL_SECRET_H_
+#define GYPSUMFALL_BASE_INTERNAL_SECRET_H_
+
+#include <string>
+#include <utility>
+
+namespace gypsumfall {
+
+/// A key or password. It converts to text only by Reveal, and has no stream
+/// operator, so that it never reaches a log or a dump by accident.
+class Secret {
+ public:
+  Secret() = default;
+  explicit Secret(std::string value) : value_(std::move(value)) {}
+
+  /// @return the plain text, for the one place that sends or compares it.
+  const std::string& Reveal() const { return value_; }
+  bool empty() const { return value_.empty(); }
+
+ private:
+  std::string value_;
+};
+
+}  // namespace gypsumfall
+
+#endif  // GYPSUMFALL_BASE_INTERNAL_SECRET_H_
--- a/gypsumfall/journal/journal.cc
+++ b/gypsumfall/journal/journal.cc
@@ -177,7 +177,7 @@
 }
 
 void Journal::RefuseOverdue(Time now, JournalActions& actions) {
-  Refused refused;
+  JournalRefused refused;
   while (!queue_.empty() &&
          now - queue_.front().queued_at >= options_.max_queue_wait) {
     refused.tickets.push_back(queue_.front().ticket);
@@ -253,12 +253,13 @@
       commit_.uncertain_sends == 0 && commit_.phase != Phase::kSent;
   if (!commit_.tickets.empty()) {
     if (unsent) {
-      actions.emplace_back(Refused{commit_.tickets, ErrorKind::kStaleEpoch});
+      actions.emplace_back(
+          JournalRefused{commit_.tickets, ErrorKind::kStaleEpoch});
     } else {
       actions.emplace_back(Lost{commit_.tickets});
     }
   }
-  Refused refused{{}, ErrorKind::kStaleEpoch};
+  JournalRefused refused{{}, ErrorKind::kStaleEpoch};
   for (const Record& record : queue_) refused.tickets.push_back(record.ticket);
   if (!refused.tickets.empty()) actions.emplace_back(std::move(refused));
   queue_.clear();
--- a/gypsumfall/journal/journal.h
+++ b/gypsumfall/journal/journal.h
@@ -77,14 +77,14 @@
 };
 
 /// The records are certainly not durable and never will be.
-struct Refused {
+struct JournalRefused {
   std::vector<JournalTicket> tickets;
   ErrorKind reason = ErrorKind::kStoreUnavailable;
 };
 
 using JournalAction =
     std::variant<SendTransact, SendRead, PutSnapshotObject,
-                 DeleteSnapshotObject, Committed, Lost, Refused>;
+                 DeleteSnapshotObject, Committed, Lost, JournalRefused>;
 using JournalActions = std::vector<JournalAction>;
 
 /// Settings of one journal.
--- a/gypsumfall/ownership/host_lease.cc
+++ b/gypsumfall/ownership/host_lease.cc
@@ -51,7 +51,7 @@
   transaction.puts.push_back({key, EncodeHostRow(call.row)});
   pending_ = std::move(call);
   next_send_ = now + settings_.retry_interval;
-  return {SendTransact{std::move(transaction)}};
+  return {OwnershipTransact{std::move(transaction)}};
 }
 
 std::vector<HostLeaseAction> HostLease::OnTransacted(
--- a/gypsumfall/ownership/internal/host_lease.h
+++ b/gypsumfall/ownership/internal/host_lease.h
@@ -27,7 +27,7 @@
 };
 
 /// The transaction is to be sent once; its answer goes to `OnTransacted`.
-struct SendTransact {
+struct OwnershipTransact {
   TransactCall call;
 };
 
@@ -45,7 +45,7 @@
 struct LeaseEnded {};
 
 using HostLeaseAction =
-    std::variant<SendTransact, LeaseGained, LeaseLost, LeaseEnded>;
+    std::variant<OwnershipTransact, LeaseGained, LeaseLost, LeaseEnded>;
 
 /// Keeps this host's own row `host/<id>`. A failed check whose row still shows
 /// our incarnation is the late effect of a call whose answer was lost; any
--- a/gypsumfall/ownership/internal/rows.h
+++ b/gypsumfall/ownership/internal/rows.h
@@ -48,9 +48,8 @@
 /// @return the task partition of a key "part/<n>"; empty for other keys.
 PartitionId PartitionOfRowKey(std::string_view key);
 /// @param count number of task partitions of the deployment, at least 1.
-/// @return the partition that a task belongs to.
-PartitionId PartitionOfTask(const CustomerId& customer, const TaskId& task,
-                            int count);
+/// @return the partition that holds all tasks of the customer.
+PartitionId PartitionOfCustomer(const CustomerId& customer, int count);
 
 std::string EncodeHostRow(const HostRow& row);
 /// @return the row, or `kBadRequest` if the text is not a host row.
--- a/gypsumfall/ownership/internal/task_partitions.h
+++ b/gypsumfall/ownership/internal/task_partitions.h
@@ -47,12 +47,12 @@
   Duration answer_timeout = seconds(2);
 };
 
-struct SendRead {
+struct OwnershipRead {
   std::string token;
   ReadCall call;
 };
 
-struct SendScan {
+struct OwnershipScan {
   std::string token;
   ScanCall call;
 };
@@ -82,8 +82,8 @@
 };
 
 using PartitionAction =
-    std::variant<SendTransact, SendRead, SendScan, OwnershipGained,
-                 OwnershipLost, PrepareRelease, HostLapsed>;
+    std::variant<OwnershipTransact, OwnershipRead, OwnershipScan,
+                 OwnershipGained, OwnershipLost, PrepareRelease, HostLapsed>;
 using PartitionActions = std::vector<PartitionAction>;
 
 /// Where a partition's owner was last seen.
--- a/gypsumfall/ownership/rows.cc
+++ b/gypsumfall/ownership/rows.cc
@@ -102,9 +102,8 @@
   return number < 0 ? PartitionId() : TaskPartitionId(number);
 }
 
-PartitionId PartitionOfTask(const CustomerId& customer, const TaskId& task,
-                            int count) {
-  const std::uint64_t hash = StableHash(customer.str() + "/" + task.str());
+PartitionId PartitionOfCustomer(const CustomerId& customer, int count) {
+  const std::uint64_t hash = StableHash(customer.str());
   return TaskPartitionId(
       static_cast<int>(hash % static_cast<std::uint64_t>(count)));
 }
--- a/gypsumfall/ownership/task_partitions.cc
+++ b/gypsumfall/ownership/task_partitions.cc
@@ -99,7 +99,7 @@
   read_next_.erase(read_next_.begin(), read_next_.begin() + extra);
   if (call.keys.empty()) return;
   const std::string token = NewToken();
-  out.emplace_back(SendRead{token, ReadCall{call.keys}});
+  out.emplace_back(OwnershipRead{token, ReadCall{call.keys}});
   pending_[token] = std::move(call);
 }
 
@@ -113,7 +113,7 @@
                                  const std::string& after, Time now,
                                  PartitionActions& out) {
   const std::string token = NewToken();
-  out.emplace_back(SendScan{token, ScanCall{prefix, after, kScanLimit}});
+  out.emplace_back(OwnershipScan{token, ScanCall{prefix, after, kScanLimit}});
   Call call;
   call.sent_at = now;
   call.scan_prefix = prefix;
@@ -130,7 +130,7 @@
   for (const RowCheck& check : call.checks) pending.keys.push_back(check.key);
   pending.puts = call.puts;
   pending_[call.token] = std::move(pending);
-  out.emplace_back(SendTransact{std::move(call)});
+  out.emplace_back(OwnershipTransact{std::move(call)});
 }
 
 void TaskPartitions::AddPut(const PartitionId& id, const EntryHostId& owner,
--- a/gypsumfall/requests/requests.h
+++ b/gypsumfall/requests/requests.h
@@ -160,7 +160,7 @@
 struct Conflict {};
 
 /// Refused at once; nothing is remembered and was_run is no.
-struct Refused {
+struct RequestRefused {
   CallerAnswer answer;
 };
 
@@ -168,7 +168,7 @@
 struct TableFull {};
 
 using BeginOutcome =
-    std::variant<Admitted, Duplicate, Conflict, Refused, TableFull>;
+    std::variant<Admitted, Duplicate, Conflict, RequestRefused, TableFull>;
 
 /// State of a request as shown to its caller.
 enum class RequestState { kWaiting, kRunning, kUnresolved, kAnswered };
--- a/gypsumfall/requests/table_impl.cc
+++ b/gypsumfall/requests/table_impl.cc
@@ -36,7 +36,7 @@
   if (auto known = Known(caller, content_hash)) return *std::move(known);
   if (requests_.size() >= settings_.max_active) return TableFull{};
   if (auto refusal = WhyRefused(caller, attributes, now)) {
-    return Refused{*std::move(refusal)};
+    return RequestRefused{*std::move(refusal)};
   }
   memory_.Forget(caller);
   ++counters_.admitted;
--- a/gypsumfall/settings/entry_settings.cc
+++ b/gypsumfall/settings/entry_settings.cc
@@ -19,8 +19,8 @@
 using std::chrono::minutes;
 using enum Presence;
 
-constexpr std::array<std::string_view, 5> kLevelNames = {
-    "trace", "debug", "info", "warning", "error"};
+constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info",
+                                                         "warning", "error"};
 
 constexpr const char* kKeyExample = "<at least 16 characters>";
 
@@ -42,9 +42,8 @@
   if (name != kLevelNames.end()) {
     return static_cast<LogLevel>(name - kLevelNames.begin());
   }
-  return tl::unexpected(
-      Quote(text) +
-      " is not a level; write trace, debug, info, warning or error");
+  return tl::unexpected(Quote(text) +
+                        " is not a level; write debug, info, warning or error");
 }
 
 auto Within(auto parse, auto range) {
@@ -190,12 +189,12 @@
   // One key for two uses would let a worker or a peer act as an operator.
   void CheckKeys() {
     const KeySettings& keys = settings_.keys;
-    const bool same = keys.operator_key.reveal() == keys.peer_key.reveal() ||
-                      keys.operator_key.reveal() == keys.worker_key.reveal() ||
-                      keys.peer_key.reveal() == keys.worker_key.reveal();
-    const bool all_set = !keys.operator_key.reveal().empty() &&
-                         !keys.peer_key.reveal().empty() &&
-                         !keys.worker_key.reveal().empty();
+    const bool same = keys.operator_key.Reveal() == keys.peer_key.Reveal() ||
+                      keys.operator_key.Reveal() == keys.worker_key.Reveal() ||
+                      keys.peer_key.Reveal() == keys.worker_key.Reveal();
+    const bool all_set = !keys.operator_key.Reveal().empty() &&
+                         !keys.peer_key.Reveal().empty() &&
+                         !keys.worker_key.Reveal().empty();
     if (!same || !all_set) return;
     Report(lines_["keys"],
            "[keys] has the same key twice; operator_key, peer_key and "
@@ -221,10 +220,6 @@
 
 }  // namespace
 
-std::string_view LogLevelName(LogLevel level) {
-  return kLevelNames[static_cast<std::size_t>(level)];
-}
-
 Parsed<EntrySettings> ParseEntrySettings(
     std::string_view text, std::string_view file,
     const std::vector<std::string>& overrides) {
--- a/gypsumfall/settings/internal/entry_settings.h
+++ b/gypsumfall/settings/internal/entry_settings.h
@@ -67,11 +67,6 @@
   double evictions = 0.5;
 };
 
-enum class LogLevel { kTrace, kDebug, kInfo, kWarning, kError };
-
-/// @return "trace", "debug", "info", "warning" or "error".
-std::string_view LogLevelName(LogLevel level);
-
 /// Section [logging].
 struct LoggingSettings {
   LogLevel level = LogLevel::kInfo;
--- a/gypsumfall/settings/internal/values.h
+++ b/gypsumfall/settings/internal/values.h
@@ -16,20 +16,6 @@
 /// A size in bytes.
 using ByteCount = StrongNumber<struct ByteCountTag, std::int64_t>;
 
-/// A secret that is never printed: it has no stream operator, and its text is
-/// reached by one explicit accessor.
-class Secret {
- public:
-  Secret() = default;
-  explicit Secret(std::string value) : value_(std::move(value)) {}
-
-  /// @return the secret text; do not log it.
-  const std::string& reveal() const { return value_; }
-
- private:
-  std::string value_;
-};
-
 /// An IP number and a TCP port.
 struct Endpoint {
   std::string ip;
--- a/gypsumfall/telemetry/log.cc
+++ b/gypsumfall/telemetry/log.cc
@@ -61,20 +61,6 @@
 
 }  // namespace
 
-std::string_view LogLevelName(LogLevel level) {
-  switch (level) {
-    case LogLevel::kDebug:
-      return "debug";
-    case LogLevel::kInfo:
-      return "info";
-    case LogLevel::kWarning:
-      return "warning";
-    case LogLevel::kError:
-      return "error";
-  }
-  return "error";
-}
-
 void SetUpLogging(const LogSettings& settings) {
   const auto core = boost::log::core::get();
   core->remove_all_sinks();
--- a/gypsumfall/telemetry/telemetry.h
+++ b/gypsumfall/telemetry/telemetry.h
@@ -33,26 +33,6 @@
 
 namespace gypsumfall {
 
-/// A key or password. It converts to text only by Reveal, and has no stream
-/// operator, so that it never reaches a log by accident.
-class Secret {
- public:
-  Secret() = default;
-  explicit Secret(std::string value) : value_(std::move(value)) {}
-
-  /// @return the plain text, for the one place that sends or compares it.
-  const std::string& Reveal() const { return value_; }
-  bool empty() const { return value_.empty(); }
-
- private:
-  std::string value_;
-};
-
-enum class LogLevel { kDebug, kInfo, kWarning, kError };
-
-/// @return "debug", "info", "warning" or "error".
-std::string_view LogLevelName(LogLevel level);
-
 struct LogSettings {
   LogLevel level = LogLevel::kInfo;
   /// Where lines go; standard error if null. Must outlive the process's logs.
