Add the task state machine

A refusal counts as proof of "never started" only if it answers the single start that was sent; otherwise the attempt's number is closed by a stop first. Attempt numbers continue when a dropped id is submitted again.

--- a/gypsumfall/journal/journal_test.cc
+++ b/gypsumfall/journal/journal_test.cc
@@ -57,7 +57,9 @@
   }
 
   void Append(std::uint64_t ticket, std::string text = "record") {
-    REQUIRE(journal.Append(std::move(text), JournalTicket(ticket), now));
+    const auto appended =
+        journal.Append(std::move(text), JournalTicket(ticket), now);
+    REQUIRE(appended);
   }
 
   void CommitOne(std::uint64_t ticket) {
--- a/gypsumfall/journal/recovery.cc
+++ b/gypsumfall/journal/recovery.cc
@@ -44,7 +44,9 @@
 Result<JournalSequence> SequenceOf(int partition, const std::string& key) {
   const std::string prefix = LogRowPrefix(partition);
   if (!key.starts_with(prefix)) return Damaged(key, "not a log row");
-  const auto number = ParseNumber(std::string_view(key).substr(prefix.size()));
+  std::string_view digits = key;
+  digits.remove_prefix(prefix.size());
+  const auto number = ParseNumber(digits);
   if (!number) return Damaged(key, "no sequence in the key");
   return JournalSequence(*number);
 }
--- /dev/null
+++ b/gypsumfall/tasks/internal/table_impl.h
@@ -0,0 +1,208 @@
+#ifndef GYPSUMFALL_TASKS_INTERNAL_TABLE_IMPL_H_
+#define GYPSUMFALL_TASKS_INTERNAL_TABLE_IMPL_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "gypsumfall/tasks/internal/durable_task.h"
+#include "gypsumfall/tasks/internal/placement_queue.h"
+#include "gypsumfall/tasks/tasks.h"
+
+namespace gypsumfall {
+
+/// State and steps of a task table; the methods of `TaskTable` forward to it.
+class TaskTable::Impl {
+ public:
+  explicit Impl(TaskTableOptions options) : options_(options) {}
+
+  // recording.cc
+  Result<void> Restore(const std::string& snapshot,
+                       const std::vector<std::string>& records,
+                       Time takeover_time);
+  std::string Snapshot() const;
+  void OnDurable(JournalTicket ticket, Time now, TaskActions& actions);
+  void OnLost(JournalTicket ticket, TaskActions& actions);
+  void OnRefused(JournalTicket ticket, Time now, ErrorKind reason,
+                 TaskActions& actions);
+
+  // calls.cc
+  Result<TaskStatus> Submit(const TaskKey& key, const TaskSpec& spec,
+                            std::string payload, const TaskLimits& limits,
+                            Time now, TaskActions& actions);
+  Result<TaskStatus> Cancel(const TaskKey& key, TaskActions& actions);
+  void Evict(const AttemptId& id, Time now, TaskActions& actions);
+  void SetLimits(const CustomerId& customer, const TaskLimits& limits);
+  Result<TaskStatus> Status(const TaskKey& key) const;
+  std::vector<TaskStatus> List(const CustomerId& customer,
+                               std::size_t limit) const;
+
+  // attempts.cc
+  void OnReservation(const AttemptId& id, const Result<WorkerReading>& granted,
+                     Time now, TaskActions& actions);
+  void OnStartReply(const AttemptId& id, const StartAttemptReply& reply,
+                    Time now, TaskActions& actions);
+  void OnStartUnknown(const AttemptId& id, Time now);
+  void OnReports(const WorkerReading& reading,
+                 const std::vector<AttemptReport>& reports, bool complete,
+                 Time now, TaskActions& actions);
+  void OnIncarnationChanged(const WorkerId& worker, Incarnation incarnation,
+                            TaskActions& actions);
+
+  // tick.cc
+  void OnAuthorityConfirmed(Time confirmed_at);
+  void Tick(Time now, TaskActions& actions);
+  TaskCounts counts() const;
+
+ private:
+  // What this owner knows about the current attempt beyond the journal.
+  enum class Phase {
+    kNone,
+    kReserving,  // a reservation is requested, or its intent is being stored
+    kUnsent,     // the intent is durable; no start was sent
+    kStarting,   // at least one start was sent
+    kRunning,    // the worker reported it as running
+    kAdopting,   // taken over; the worker has not reported it yet
+  };
+
+  struct Task {
+    DurableTask durable;
+    Phase phase = Phase::kNone;
+    // The record of the next change while it is being stored.
+    std::optional<JournalTicket> transition;
+    // A change that the journal refused; appended again at `resend_at`.
+    std::optional<TaskRecord> unsaved;
+    bool cancel_pending = false;
+    // Cancelled by the caller before the acceptance was durable.
+    bool cancel_wanted = false;
+    bool stop_wanted = false;
+    // Whether the worker reported that the attempt has started.
+    bool started = false;
+    int start_sends = 0;
+    std::string checkpoint;
+    // The attempt is certainly over from this time on.
+    Time over_at = Time::max();
+    Time resend_at;
+    Time renew_at;
+    int refusals = 0;
+    std::vector<WorkerId> avoid;
+  };
+  using TaskMap = std::map<TaskKey, Task>;
+
+  // The newest reading of a worker's clock.
+  struct Reading {
+    Incarnation incarnation;
+    WorkerTime clock;
+    Time received_at;
+  };
+
+  enum class Freshness {
+    kLate,   // taken before a reading that is known
+    kKnown,  // equal to the newest
+    kNew,
+  };
+
+  struct Ended {
+    Time at;
+    TaskKey key;
+    std::uint64_t arrival = 0;
+  };
+
+  static AttemptId CurrentId(const Task& task);
+  static PlacementQueue::Entry EntryOf(const Task& task);
+  static bool IsQueued(const Task& task);
+  TaskStatus StatusOf(const Task& task) const;
+  Task* Find(const TaskKey& key);
+  // Finds the task whose current attempt is `id` and not over.
+  Task* FindAttempt(const AttemptId& id);
+
+  // recording.cc
+  JournalTicket Append(const TaskRecord& record, TaskActions& actions);
+  void AppendTransition(Task& task, TaskRecord record, TaskActions& actions);
+  void AppendCancel(Task& task, TaskActions& actions);
+  void RestoreRecord(const TaskRecord& record);
+  void Resume(Task& task, Time takeover_time);
+  void Settle(Task& task, TaskState before, Time now, TaskActions& actions);
+  void OnAccepted(Task& task, TaskActions& actions);
+  void OnIntentDurable(Task& task, Time now, TaskActions& actions);
+  void OnAttemptOver(Task& task, Time now, TaskActions& actions);
+  void ClearAttempt(Task& task);
+  void KeepEnded(const Task& task, Time now);
+  void Drop(const Ended& ended);
+  void CountQueued(const CustomerId& customer, int change);
+
+  // attempts.cc
+  Freshness NoteReading(const WorkerReading& reading, Time now,
+                        TaskActions& actions);
+  void ConcludeSuperseded(const WorkerId& worker, Incarnation incarnation,
+                          TaskActions& actions);
+  Time BackoffEnd(const Task& task, Time now) const;
+  void ReservationFailed(Task& task, Time now);
+  void Conclude(Task& task, WasRun started, TaskActions& actions);
+  void ConcludeFailed(Task& task, const AttemptReport& report,
+                      TaskActions& actions);
+  void ConcludeDone(Task& task, const AttemptReport& report,
+                    TaskActions& actions);
+  WasRun StartedSoFar(const Task& task) const;
+  void TakeReport(const AttemptReport& report, const WorkerReading& reading,
+                  Freshness freshness, Time now, TaskActions& actions);
+  void TakeLateReport(const AttemptReport& report, const WorkerReading& reading,
+                      TaskActions& actions);
+  void TakeRunning(Task& task, Time now, TaskActions& actions);
+  void StopUnlisted(const WorkerReading& reading,
+                    const std::vector<AttemptReport>& reports, Time now,
+                    TaskActions& actions);
+  void AvoidWorker(Task& task);
+
+  // tick.cc
+  void Examine(Task& task, Time now, TaskActions& actions);
+  Time NextDue(const Task& task) const;
+  void Place(Time now, TaskActions& actions);
+  void SendStart(Task& task, Time now, TaskActions& actions);
+  void SendStop(Task& task, Time now, TaskActions& actions);
+  void SendRenew(Task& task, Time now, TaskActions& actions);
+  void SendQuery(Task& task, Time now, TaskActions& actions);
+  void ExtendOverAt(Task& task, const Reading& reading);
+  const Reading* ReadingFor(const Task& task) const;
+  bool IsSuperseded(const Task& task) const;
+  std::optional<Time> AuthorityEnd(const Task& task) const;
+  Time NextRenewal(Time now) const;
+  void DropExpired(Time now);
+  void DropOldestEnded();
+  // Has `Tick` examine the active tasks at `time` or before.
+  void Attend(Time time) { attention_ = std::min(attention_, time); }
+
+  TaskTableOptions options_;
+  TaskMap tasks_;
+  // Tasks that are reserving or have an attempt.
+  std::set<TaskKey> active_;
+  std::map<WorkerId, std::set<TaskKey>> by_worker_;
+  std::map<WorkerId, Reading> readings_;
+  std::map<CustomerId, std::size_t> queued_;
+  PlacementQueue queue_;
+  std::unordered_map<JournalTicket, TaskRecord> pending_;
+  std::uint64_t last_ticket_ = 0;
+  std::uint64_t last_arrival_ = 0;
+  AttemptNumber attempt_floor_;
+  // Ended tasks in the order in which they ended.
+  std::deque<Ended> ended_;
+  std::map<CustomerId, std::deque<Ended>> ended_by_customer_;
+  std::optional<Time> authority_;
+  Time attention_ = Time::max();
+  // Workers already asked for reports in the present `Tick`.
+  std::set<WorkerId> queried_;
+  bool lost_ = false;
+  std::uint64_t results_accepted_ = 0;
+  std::uint64_t late_reports_ = 0;
+};
+
+}  // namespace gypsumfall
+
+#endif  // GYPSUMFALL_TASKS_INTERNAL_TABLE_IMPL_H_
--- a/gypsumfall/tasks/internal/task_types.h
+++ b/gypsumfall/tasks/internal/task_types.h
@@ -159,6 +159,16 @@
                  QueryWorker, StopAttempt, AcknowledgeAttempt, Notify>;
 using TaskActions = std::vector<TaskAction>;
 
+/// Counts for metrics.
+struct TaskCounts {
+  std::size_t tasks = 0;
+  /// Tasks that are reserving or have an attempt.
+  std::size_t active = 0;
+  std::uint64_t results_accepted = 0;
+  /// Reports of attempts that are not current.
+  std::uint64_t late_reports = 0;
+};
+
 /// Answer to a submission or cancellation.
 struct TaskDecision {
   /// The status, or why the call was refused (certainly not run). While
--- a/gypsumfall/tasks/tasks.h
+++ b/gypsumfall/tasks/tasks.h
@@ -53,10 +53,14 @@
   std::size_t max_tasks = 100000;
   /// A task is failed after this many attempts that its worker reports failed.
   int max_failed_attempts = 3;
+  /// Nothing new is placed when the host row was last confirmed longer ago:
+  /// its intent could not be stored.
+  Duration placement_authority = seconds(6);
   /// Most reservations requested and queue entries examined per `Tick`.
   std::size_t reservations_per_tick = 64;
-  /// Longest payload, checkpoint or result that fits into a journal row.
-  std::size_t max_text_bytes = 30000;
+  /// Longest record that the journal takes. A longer submission is refused, a
+  /// longer checkpoint is not kept, and a longer result fails its task.
+  std::size_t max_record_bytes = 65000;
 };
 
 /// The tasks of one owned partition.
@@ -135,16 +139,8 @@
   /// concludes attempts whose lease has ended and drops expired tasks.
   TaskActions Tick(Time now);
 
-  /// Counts for metrics.
-  struct Counts {
-    std::size_t tasks = 0;
-    std::size_t queued = 0;
-    std::size_t attempts = 0;
-    std::size_t ended = 0;
-    std::uint64_t results_accepted = 0;
-    std::uint64_t late_reports = 0;
-  };
-  Counts counts() const;
+  /// @return counts for metrics.
+  TaskCounts counts() const;
 
  private:
   class Impl;
