--- /dev/null
+++ b/gypsumfall/http/internal/unique_function.h
@@ -0,0 +1,54 @@
+#ifndef GYPSUMFALL_HTTP_INTERNAL_UNIQUE_FUNCTION_H_
+#define GYPSUMFALL_HTTP_INTERNAL_UNIQUE_FUNCTION_H_
+
+#include <concepts>
+#include <memory>
+#include <type_traits>
+#include <utility>
+
+namespace gypsumfall {
+
+/// A callable that can be moved but not copied, so that it may capture
+/// move-only values such as a `Responder`.
+/// @tparam Args argument types of the call, which returns nothing.
+template <typename... Args>
+class UniqueFunction {
+ public:
+  UniqueFunction() = default;
+
+  /// @param target any callable with these arguments.
+  template <typename Target>
+  requires(!std::same_as<std::remove_cvref_t<Target>, UniqueFunction> &&
+           std::invocable<std::decay_t<Target>&, Args...>)
+      UniqueFunction(Target&& target)  // NOLINT(google-explicit-constructor)
+      : callable_(std::make_unique<Holder<std::decay_t<Target>>>(
+            std::forward<Target>(target))) {}
+
+  /// @return whether there is something to call.
+  explicit operator bool() const { return callable_ != nullptr; }
+
+  /// Calls the target, which must be present.
+  void operator()(Args... args) {
+    callable_->Call(std::forward<Args>(args)...);
+  }
+
+ private:
+  struct Callable {
+    virtual ~Callable() = default;
+    virtual void Call(Args... args) = 0;
+  };
+
+  template <typename Target>
+  struct Holder final : Callable {
+    template <typename From>
+    explicit Holder(From&& from) : target(std::forward<From>(from)) {}
+    void Call(Args... args) override { target(std::forward<Args>(args)...); }
+    Target target;
+  };
+
+  std::unique_ptr<Callable> callable_;
+};
+
+}  // namespace gypsumfall
+
+#endif  // GYPSUMFALL_HTTP_INTERNAL_UNIQUE_FUNCTION_H_
