Implement the HTTP server and the client pool

Entry hosts, workers and the platform speak HTTP/1.1 with JSON. The server bounds sizes, times and connections and answers over-limit input with the error of its kind; a stop lets open requests finish. The pool bounds connections and waiting calls per endpoint, reuses the most recent connection first, and tells whether a failed call was certainly not sent.

Reads go through the Beast parsers; requests and responses are written as text with one non-blocking write, which saves a turn of the reactor. Deadlines move without touching their timer.

--- a/gypsumfall/http/internal/client.h
+++ b/gypsumfall/http/internal/client.h
@@ -46,12 +46,12 @@
 
 struct CallOutcome {
   /// Unset if a response was received.
-  std::optional<CallFailure> failure;
+  std::optional<CallFailure> failure = {};
   /// True only for a failed call of which no byte was written.
   bool certainly_not_sent = false;
   /// HTTP status and body of the response.
   int status = 0;
-  std::string body;
+  std::string body = {};
 };
 
 using CallDone = UniqueFunction<CallOutcome>;
--- a/gypsumfall/http/internal/messages.h
+++ b/gypsumfall/http/internal/messages.h
@@ -22,14 +22,14 @@
 struct HttpRequest {
   HttpMethod method = HttpMethod::kOther;
   /// Path without the query, still percent-encoded.
-  std::string path;
+  std::string path = {};
   /// Text after '?', still percent-encoded; empty if none.
-  std::string query;
+  std::string query = {};
   /// Key of "Authorization: Bearer <key>"; empty if none.
-  std::string bearer;
+  std::string bearer = {};
   /// Value of "X-Customer"; empty if none.
-  std::string customer;
-  std::string body;
+  std::string customer = {};
+  std::string body = {};
 
   /// @param name name of a query parameter.
   /// @return its decoded value, or nothing if it is absent.
@@ -38,7 +38,7 @@
 
 struct HttpResponse {
   int status = 200;
-  std::string body;
+  std::string body = {};
   std::string_view content_type = "application/json";
 };
 
@@ -46,12 +46,12 @@
 struct HttpCall {
   HttpMethod method = HttpMethod::kPost;
   /// Percent-encoded path, with the query if there is one.
-  std::string path;
+  std::string path = {};
   /// Sent as "Authorization: Bearer <key>" unless empty.
-  std::string bearer;
+  std::string bearer = {};
   /// Sent as "X-Customer" unless empty.
-  std::string customer;
-  std::string body;
+  std::string customer = {};
+  std::string body = {};
 };
 
 /// @return the response to a failed call: status, `was_run` and text are those
--- a/gypsumfall/http/internal/server.h
+++ b/gypsumfall/http/internal/server.h
@@ -31,6 +31,9 @@
   Duration header_timeout = seconds(10);
   /// Longest time that a connection may wait for its next request.
   Duration idle_timeout = seconds(60);
+  /// Time that a stop leaves idle connections open. A request that a client
+  /// sends in this time is answered; its connection is then closed.
+  Duration stop_drain = milliseconds(200);
 };
 
 namespace http_internal {
@@ -54,7 +57,7 @@
 
   /// Sends the response; later calls are ignored. If the client has
   /// disconnected, the response is dropped.
-  void operator()(HttpResponse response);
+  void operator()(const HttpResponse& response);
 
  private:
   std::shared_ptr<http_internal::ServerConnection> connection_;
--- /dev/null
+++ b/gypsumfall/http/internal/test_support.h
@@ -0,0 +1,148 @@
+#ifndef GYPSUMFALL_HTTP_INTERNAL_TEST_SUPPORT_H_
+#define GYPSUMFALL_HTTP_INTERNAL_TEST_SUPPORT_H_
+
+// For tests of this library only.
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "gypsumfall/http/http.h"
+#include "gypsumfall/http/internal/endpoint.h"
+
+namespace gypsumfall::http_internal {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// Runs handlers until the condition holds; the time only ends a hung test.
+inline void RunUntil(asio::io_context& io, const std::function<bool()>& done) {
+  while (!done()) {
+    io.restart();
+    if (io.run_one_for(std::chrono::seconds(30)) == 0) {
+      FAIL("nothing more happens");
+    }
+  }
+}
+
+/// A client that sends given bytes and collects all that it receives.
+class RawClient {
+ public:
+  RawClient(asio::io_context& io, const std::string& address) : socket_(io) {
+    socket_.connect(*ParseEndpoint(address));
+    Read();
+  }
+
+  void Send(std::string bytes) {
+    auto kept = std::make_shared<std::string>(std::move(bytes));
+    asio::async_write(socket_, asio::buffer(*kept),
+                      [kept](const error_code&, std::size_t) {});
+  }
+  void CloseSend() { socket_.shutdown(tcp::socket::shutdown_send); }
+  void Close() { socket_.close(); }
+  const std::string& received() const { return received_; }
+  bool ended() const { return ended_; }
+
+ private:
+  void Read() {
+    socket_.async_read_some(asio::buffer(chunk_),
+                            [this](const error_code& error, std::size_t bytes) {
+                              if (error == asio::error::operation_aborted)
+                                return;
+                              received_.append(chunk_.data(), bytes);
+                              ended_ = static_cast<bool>(error);
+                              if (!ended_) Read();
+                            });
+  }
+
+  tcp::socket socket_;
+  std::array<char, 4096> chunk_;
+  std::string received_;
+  bool ended_ = false;
+};
+
+/// A server whose connections each follow the next step of a script: it reads
+/// one request header if `reads`, sends `answer`, and closes if `closes`.
+struct ScriptStep {
+  bool reads = true;
+  std::string answer = {};
+  bool closes = false;
+};
+
+class ScriptedServer {
+ public:
+  ScriptedServer(asio::io_context& io, std::vector<ScriptStep> script)
+      : acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        script_(std::move(script)) {
+    Accept();
+  }
+
+  std::string address() const {
+    return EndpointText(acceptor_.local_endpoint());
+  }
+  std::size_t accepted() const { return open_.size(); }
+  std::size_t requests_read() const { return requests_read_; }
+  void CloseConnections() {
+    for (const auto& open : open_) open->socket.close();
+  }
+
+ private:
+  struct Connection {
+    explicit Connection(tcp::socket s) : socket(std::move(s)) {}
+    tcp::socket socket;
+    std::string input;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
+      if (error) return;
+      open_.push_back(std::make_shared<Connection>(std::move(socket)));
+      Follow(open_.size() - 1, open_.back());
+      Accept();
+    });
+  }
+
+  void Follow(std::size_t index, const std::shared_ptr<Connection>& open) {
+    const ScriptStep& step = script_[std::min(index, script_.size() - 1)];
+    if (!step.reads) {
+      Answer(step, index, open);
+      return;
+    }
+    asio::async_read_until(
+        open->socket, asio::dynamic_buffer(open->input), "\r\n\r\n",
+        [this, step, index, open](const error_code& error, std::size_t bytes) {
+          if (error) return;
+          ++requests_read_;
+          open->input.erase(0, bytes);
+          Answer(step, index, open);
+        });
+  }
+
+  void Answer(const ScriptStep& step, std::size_t index,
+              const std::shared_ptr<Connection>& open) {
+    asio::write(open->socket, asio::buffer(step.answer));
+    if (step.closes) {
+      open->socket.close();
+    } else if (step.reads) {
+      Follow(index, open);
+    }
+  }
+
+  tcp::acceptor acceptor_;
+  std::vector<ScriptStep> script_;
+  std::vector<std::shared_ptr<Connection>> open_;
+  std::size_t requests_read_ = 0;
+};
+
+}  // namespace gypsumfall::http_internal
+
+#endif  // GYPSUMFALL_HTTP_INTERNAL_TEST_SUPPORT_H_
--- a/gypsumfall/http/internal/unique_function.h
+++ b/gypsumfall/http/internal/unique_function.h
@@ -16,13 +16,17 @@
  public:
   UniqueFunction() = default;
 
+  // clang-format off
+  /// Implicit like std::function; the constraint excludes copies and moves.
   /// @param target any callable with these arguments.
   template <typename Target>
-  requires(!std::same_as<std::remove_cvref_t<Target>, UniqueFunction> &&
-           std::invocable<std::decay_t<Target>&, Args...>)
-      UniqueFunction(Target&& target)  // NOLINT(google-explicit-constructor)
+    requires(!std::same_as<std::remove_cvref_t<Target>, UniqueFunction> &&
+             std::invocable<std::decay_t<Target>&, Args...>)
+  // NOLINTNEXTLINE(google-explicit-constructor,bugprone-forwarding-reference-overload)
+  UniqueFunction(Target&& target)
       : callable_(std::make_unique<Holder<std::decay_t<Target>>>(
             std::forward<Target>(target))) {}
+  // clang-format on
 
   /// @return whether there is something to call.
   explicit operator bool() const { return callable_ != nullptr; }
@@ -40,8 +44,7 @@
 
   template <typename Target>
   struct Holder final : Callable {
-    template <typename From>
-    explicit Holder(From&& from) : target(std::forward<From>(from)) {}
+    explicit Holder(Target from) : target(std::move(from)) {}
     void Call(Args... args) override { target(std::forward<Args>(args)...); }
     Target target;
   };
--- /dev/null
+++ b/gypsumfall/http/server_connection.cc
@@ -0,0 +1,264 @@
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "gypsumfall/http/internal/server_core.h"
+#include "gypsumfall/http/internal/wire.h"
+
+namespace gypsumfall::http_internal {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+// Small requests fit in one read; larger bodies take the second size.
+constexpr std::size_t kFirstRead = std::size_t{4} << 10;
+constexpr std::size_t kBodyRead = std::size_t{64} << 10;
+
+// Buffers above this size are given back after a response.
+constexpr std::size_t kKeptBuffer = std::size_t{64} << 10;
+
+// Input that is read and discarded after the last answer. Closing a socket
+// with unread input resets it, and the client may then lose the answer.
+constexpr std::size_t kMaxDiscarded = std::size_t{8} << 20;
+constexpr Duration kLingerTime = seconds(2);
+
+constexpr std::string_view kBearerPrefix = "Bearer ";
+
+std::string BearerKey(std::string_view header) {
+  if (!header.starts_with(kBearerPrefix)) return {};
+  return std::string(header.substr(kBearerPrefix.size()));
+}
+
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+ServerConnection::ServerConnection(std::shared_ptr<ServerCore> core,
+                                   asio::ip::tcp::socket socket)
+    : core_(std::move(core)),
+      socket_(std::move(socket)),
+      deadline_(core_->io(), [this] { OnDue(); }) {}
+
+void ServerConnection::Start() { AwaitRequest(); }
+
+void ServerConnection::AwaitRequest() {
+  state_ = State::kIdle;
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(
+      static_cast<std::uint32_t>(core_->options().max_header));
+  parser_->body_limit(core_->options().max_body);
+  deadline_.SetAfter(core_->options().idle_timeout, weak_from_this());
+  if (buffer_.size() == 0) {
+    Read();
+    return;
+  }
+  // A pipelined request is parsed from a fresh stack, so that a client that
+  // sends many can not exhaust it.
+  asio::post(core_->io(), [self = shared_from_this()] {
+    if (self->state_ == State::kIdle) self->Parse();
+  });
+}
+
+void ServerConnection::Read() {
+  const std::size_t size = parser_->is_header_done() ? kBodyRead : kFirstRead;
+  socket_.async_read_some(
+      buffer_.prepare(size),
+      [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+        self->OnRead(error, bytes);
+      });
+}
+
+void ServerConnection::OnRead(const error_code& error, std::size_t bytes) {
+  if (state_ != State::kIdle && state_ != State::kReceiving) return;
+  if (error) {
+    Close();
+    return;
+  }
+  buffer_.commit(bytes);
+  Parse();
+}
+
+void ServerConnection::Parse() {
+  error_code error;
+  buffer_.consume(parser_->put(buffer_.data(), error));
+  if (error == http::error::need_more) error = {};
+  if (error) {
+    OnMalformed(error);
+  } else if (parser_->is_done()) {
+    Dispatch();
+  } else {
+    if (state_ == State::kIdle) {
+      state_ = State::kReceiving;
+      deadline_.SetAfter(core_->options().header_timeout, weak_from_this());
+    }
+    Read();
+  }
+}
+
+void ServerConnection::OnMalformed(const error_code& error) {
+  if (error == http::error::body_limit) {
+    Reject(ErrorKind::kTooLarge, "the body may have " +
+                                     std::to_string(core_->options().max_body) +
+                                     " bytes");
+  } else if (error == http::error::header_limit) {
+    Reject(ErrorKind::kTooLarge,
+           "the header may have " +
+               std::to_string(core_->options().max_header) + " bytes");
+  } else {
+    Reject(ErrorKind::kBadRequest, "not valid HTTP/1.1: " + error.message());
+  }
+}
+
+void ServerConnection::Dispatch() {
+  state_ = State::kHandling;
+  deadline_.Clear();
+  counted_open_ = true;
+  core_->CountOpened();
+  core_->Handle(TakeRequest(), Responder(shared_from_this()));
+}
+
+HttpRequest ServerConnection::TakeRequest() {
+  auto& message = parser_->get();
+  close_after_ = !message.keep_alive() || message.version() < 11;
+  header_only_ = message.method() == http::verb::head;
+  const std::string_view target = View(message.target());
+  const std::size_t mark = target.find('?');
+  HttpRequest request;
+  request.method = MethodOf(message.method());
+  request.path = target.substr(0, mark);
+  if (mark != std::string_view::npos) request.query = target.substr(mark + 1);
+  request.bearer = BearerKey(View(message[http::field::authorization]));
+  request.customer = View(message["X-Customer"]);
+  request.body = std::move(message.body());
+  return request;
+}
+
+void ServerConnection::Reject(ErrorKind kind, std::string_view detail) {
+  close_after_ = true;
+  header_only_ = false;
+  Write(ErrorResponse(kind, detail));
+}
+
+void ServerConnection::Respond(const HttpResponse& response) {
+  if (state_ == State::kHandling) Write(response);
+}
+
+void ServerConnection::RespondDropped() {
+  if (state_ != State::kHandling) return;
+  Write(ErrorResponse(ErrorKind::kInternal, "the request was not answered"));
+}
+
+void ServerConnection::Write(const HttpResponse& response) {
+  state_ = State::kWriting;
+  close_after_ = close_after_ || core_->stopping();
+  WriteResponse(response, {.close = close_after_, .header_only = header_only_},
+                out_);
+  written_ = 0;
+  error_code error;
+  written_ = socket_.write_some(asio::buffer(out_), error);
+  if (error && error != asio::error::would_block) {
+    Close();
+  } else if (written_ == out_.size()) {
+    OnWritten();
+  } else {
+    deadline_.SetAfter(core_->options().header_timeout, weak_from_this());
+    ContinueWrite();
+  }
+}
+
+void ServerConnection::ContinueWrite() {
+  asio::async_write(
+      socket_, asio::buffer(out_) + written_,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (self->state_ != State::kWriting) return;
+        if (error) {
+          self->Close();
+        } else {
+          self->OnWritten();
+        }
+      });
+}
+
+void ServerConnection::OnWritten() {
+  if (std::exchange(counted_open_, false)) core_->CountAnswered();
+  if (out_.capacity() > kKeptBuffer) out_ = {};
+  if (buffer_.capacity() > kKeptBuffer) buffer_.shrink_to_fit();
+  if (close_after_) {
+    Linger();
+  } else {
+    AwaitRequest();
+  }
+}
+
+void ServerConnection::Linger() {
+  state_ = State::kLingering;
+  core_->CountLingering(1);
+  error_code error;
+  socket_.shutdown(asio::socket_base::shutdown_send, error);
+  if (error) {
+    Close();
+    return;
+  }
+  deadline_.SetAfter(std::min(kLingerTime, core_->options().header_timeout),
+                     weak_from_this());
+  buffer_.clear();
+  Discard();
+  core_->OnLingering();
+}
+
+void ServerConnection::Discard() {
+  socket_.async_read_some(
+      buffer_.prepare(kFirstRead),
+      [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+        if (self->state_ != State::kLingering) return;
+        self->discarded_ += bytes;
+        if (error || self->discarded_ > kMaxDiscarded) {
+          self->Close();
+        } else {
+          self->Discard();
+        }
+      });
+}
+
+void ServerConnection::OnDue() {
+  if (state_ != State::kReceiving) {
+    Close();
+    return;
+  }
+  // The read in progress must not touch the buffer that Discard() reuses.
+  error_code ignored;
+  socket_.cancel(ignored);
+  Reject(ErrorKind::kBadRequest, "the request was not received in time");
+}
+
+void ServerConnection::CloseIfIdle() {
+  if (state_ != State::kIdle || buffer_.size() > 0) return;
+  // A request that has already arrived is served.
+  error_code error;
+  if (socket_.available(error) == 0) Close();
+}
+
+void ServerConnection::Close() {
+  if (state_ == State::kClosed) return;
+  if (state_ == State::kLingering) core_->CountLingering(-1);
+  state_ = State::kClosed;
+  if (std::exchange(counted_open_, false)) core_->CountAnswered();
+  error_code ignored;
+  socket_.close(ignored);
+  deadline_.Cancel();
+  core_->Remove(shared_from_this());
+}
+
+}  // namespace gypsumfall::http_internal
