--- a/gypsumfall/telemetry/log.cc
+++ b/gypsumfall/telemetry/log.cc
@@ -75,7 +75,7 @@
 }
 
 void Logger::Write(LogLevel level, std::string_view message,
-                   Fields fields) const {
+                   LogFields fields) const {
   boost::log::sources::severity_logger<LogLevel> source(
       boost::log::keywords::severity = level);
   boost::log::record record =
@@ -87,7 +87,7 @@
   AppendValue(line, component_, false);
   line += " msg=";
   AppendValue(line, message, true);
-  for (const Field& field : fields) {
+  for (const LogField& field : fields) {
     line += ' ';
     line += field.key;
     line += '=';
@@ -97,16 +97,16 @@
   source.push_record(std::move(record));
 }
 
-void Logger::Debug(std::string_view message, Fields fields) const {
+void Logger::Debug(std::string_view message, LogFields fields) const {
   Write(LogLevel::kDebug, message, fields);
 }
-void Logger::Info(std::string_view message, Fields fields) const {
+void Logger::Info(std::string_view message, LogFields fields) const {
   Write(LogLevel::kInfo, message, fields);
 }
-void Logger::Warning(std::string_view message, Fields fields) const {
+void Logger::Warning(std::string_view message, LogFields fields) const {
   Write(LogLevel::kWarning, message, fields);
 }
-void Logger::Error(std::string_view message, Fields fields) const {
+void Logger::Error(std::string_view message, LogFields fields) const {
   Write(LogLevel::kError, message, fields);
 }
 
--- a/gypsumfall/telemetry/telemetry.h
+++ b/gypsumfall/telemetry/telemetry.h
@@ -4,7 +4,7 @@
 /// @file
 /// Logging and metrics. A log line is "time=... level=... component=...
 /// msg=\"...\" key=value ...". Secrets can not be logged: `Secret` has no
-/// stream operator and `Field` does not accept it.
+/// stream operator and `LogField` does not accept it.
 ///
 /// Example:
 /// @code
@@ -43,11 +43,11 @@
 void SetUpLogging(const LogSettings& settings);
 
 /// One key=value pair of a log line.
-struct Field {
+struct LogField {
   /// @tparam T any type with a stream operator.
   template <typename T>
   requires requires(std::ostream& out, const T& value) { out << value; }
-  Field(std::string_view field_key, const T& field_value)
+  LogField(std::string_view field_key, const T& field_value)
       : key(field_key), value(Text(field_value)) {}
 
   std::string_view key;
@@ -66,20 +66,20 @@
   }
 };
 
-using Fields = std::initializer_list<Field>;
+using LogFields = std::initializer_list<LogField>;
 
 /// Writes log lines of one component. Thread-safe.
 class Logger {
  public:
   explicit Logger(std::string component) : component_(std::move(component)) {}
 
-  void Debug(std::string_view message, Fields fields = {}) const;
-  void Info(std::string_view message, Fields fields = {}) const;
-  void Warning(std::string_view message, Fields fields = {}) const;
-  void Error(std::string_view message, Fields fields = {}) const;
+  void Debug(std::string_view message, LogFields fields = {}) const;
+  void Info(std::string_view message, LogFields fields = {}) const;
+  void Warning(std::string_view message, LogFields fields = {}) const;
+  void Error(std::string_view message, LogFields fields = {}) const;
 
  private:
-  void Write(LogLevel level, std::string_view message, Fields fields) const;
+  void Write(LogLevel level, std::string_view message, LogFields fields) const;
 
   std::string component_;
 };
--- a/gypsumfall/telemetry/telemetry_test.cc
+++ b/gypsumfall/telemetry/telemetry_test.cc
@@ -15,7 +15,7 @@
   out << value;
 };
 static_assert(!Streamable<Secret>);
-static_assert(!std::is_constructible_v<Field, std::string_view, Secret>);
+static_assert(!std::is_constructible_v<LogField, std::string_view, Secret>);
 static_assert(!std::is_convertible_v<Secret, std::string>);
 static_assert(!std::is_convertible_v<Secret, std::string_view>);
 
