--- a/gypsumfall/tasks/attempts.cc
+++ b/gypsumfall/tasks/attempts.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "gypsumfall/tasks/internal/table_impl.h"
@@ -99,7 +98,7 @@
   if (EncodeRecord(record).size() > options_.max_record_bytes) {
     record.checkpoint.clear();
   }
-  AppendTransition(task, std::move(record), actions);
+  AppendTransition(task, record, actions);
 }
 
 void TaskTable::Impl::ConcludeFailed(Task& task, const AttemptReport& report,
@@ -117,14 +116,14 @@
   if (EncodeRecord(record).size() > options_.max_record_bytes) {
     record.text = "the failure text exceeds a journal record";
   }
-  AppendTransition(task, std::move(record), actions);
+  AppendTransition(task, record, actions);
 }
 
 void TaskTable::Impl::ConcludeDone(Task& task, const AttemptReport& report,
                                    TaskActions& actions) {
-  DoneRecord done{task.durable.key, task.durable.attempt, report.result};
+  const DoneRecord done{task.durable.key, task.durable.attempt, report.result};
   if (EncodeRecord(done).size() <= options_.max_record_bytes) {
-    AppendTransition(task, std::move(done), actions);
+    AppendTransition(task, done, actions);
     return;
   }
   AppendTransition(task,
--- a/gypsumfall/tasks/internal/table_impl.h
+++ b/gypsumfall/tasks/internal/table_impl.h
@@ -125,7 +125,8 @@
 
   // recording.cc
   JournalTicket Append(const TaskRecord& record, TaskActions& actions);
-  void AppendTransition(Task& task, TaskRecord record, TaskActions& actions);
+  void AppendTransition(Task& task, const TaskRecord& record,
+                        TaskActions& actions);
   void AppendCancel(Task& task, TaskActions& actions);
   void RestoreRecord(const TaskRecord& record);
   void Resume(Task& task, Time takeover_time);
--- a/gypsumfall/tasks/lease_test.cc
+++ b/gypsumfall/tasks/lease_test.cc
@@ -6,9 +6,10 @@
 namespace gypsumfall {
 namespace {
 
-const TaskSpec kSpec{.kind = KindId("k")};
-const TaskKey kKey{CustomerId("c"), TaskId("t")};
-const AttemptId kFirst{kKey.customer, kKey.task, AttemptNumber(1)};
+const TaskSpec default_spec{.kind = KindId("k")};
+const TaskKey task_key{CustomerId("c"), TaskId("t")};
+const AttemptId first_attempt{task_key.customer, task_key.task,
+                              AttemptNumber(1)};
 constexpr Duration kTick(1);
 
 bool IsOver(const TestOwner& owner) {
@@ -21,7 +22,7 @@
   TestOwner owner;
   const Time received = owner.now;
   const WorkerTime reading = owner.worker.clock;
-  owner.Submit("t", kSpec);
+  owner.Submit("t", default_spec);
   const StartAttempt start = owner.All<StartAttempt>().at(0);
   CHECK(start.lease_until == reading + seconds(30));
   CHECK(start.task_epoch == Epoch(1));
@@ -45,8 +46,8 @@
     INFO(row.name);
     TestOwner owner;
     const WorkerTime first = owner.worker.clock;
-    owner.Submit("t", kSpec);
-    owner.Take(owner.table.OnStartReply(kFirst, {{}, first}, owner.now));
+    owner.Submit("t", default_spec);
+    owner.Take(owner.table.OnStartReply(first_attempt, {{}, first}, owner.now));
     owner.Advance(seconds(10) - kTick);
     CHECK(owner.All<RenewAttempt>().empty());
     WorkerReading reading = owner.worker;
@@ -63,7 +64,7 @@
 // against renewing beyond what the next owner waits for.
 TEST_CASE("attempts are renewed without the store for the kind's time only") {
   TestOwner owner;
-  TaskSpec spec = kSpec;
+  TaskSpec spec = default_spec;
   spec.run_without_contact = seconds(300);
   const Time confirmed = owner.now;
   owner.Submit("t", spec);
@@ -71,12 +72,12 @@
   owner.grant = false;
   while (owner.now < confirmed + seconds(300)) {
     owner.Take(owner.table.OnReports(owner.worker, {}, false, owner.now));
-    owner.Take(
-        owner.table.OnStartReply(kFirst, {{}, owner.worker.clock}, owner.now));
+    owner.Take(owner.table.OnStartReply(first_attempt, {{}, owner.worker.clock},
+                                        owner.now));
     owner.Advance(seconds(5));
   }
   const auto renewals = owner.All<RenewAttempt>();
-  CHECK(owner.table.Status(kKey)->state == TaskState::kRunning);
+  CHECK(owner.table.Status(task_key)->state == TaskState::kRunning);
   CHECK(renewals.back().send_before == confirmed + seconds(300));
   // The last lease ends before a new owner treats the attempt as over.
   CHECK(renewals.back().lease_until <=
@@ -94,7 +95,7 @@
 TEST_CASE("a start is not sent after the owner's authority has ended") {
   TestOwner owner;
   owner.hold = true;
-  owner.Submit("t", kSpec);
+  owner.Submit("t", default_spec);
   owner.Store();
   owner.Advance({});
   REQUIRE(owner.held.size() == 1);
@@ -104,14 +105,14 @@
   // The intent was never sent, so the task may be placed again.
   owner.hold = false;
   owner.Advance(seconds(10));
-  CHECK(owner.table.Status(kKey)->state == TaskState::kQueued);
+  CHECK(owner.table.Status(task_key)->state == TaskState::kQueued);
 }
 
 // Guards against a new owner that resumes an attempt which the old owner may
 // still renew.
 TEST_CASE("a new owner waits for what the old owner may have granted") {
   TestOwner owner;
-  owner.Submit("t", kSpec);
+  owner.Submit("t", default_spec);
   owner.TakeOver(seconds(7));
   owner.grant = false;
   CHECK(owner.All<QueryWorker>().size() == 1);
@@ -125,7 +126,7 @@
 TEST_CASE("a start with an old reading asks for a new one first") {
   TestOwner owner;
   owner.hold = true;
-  owner.Submit("t", kSpec);
+  owner.Submit("t", default_spec);
   owner.Store();
   owner.Advance({});
   owner.now += seconds(16);
--- a/gypsumfall/tasks/recording.cc
+++ b/gypsumfall/tasks/recording.cc
@@ -17,10 +17,11 @@
   return ticket;
 }
 
-void TaskTable::Impl::AppendTransition(Task& task, TaskRecord record,
+void TaskTable::Impl::AppendTransition(Task& task, const TaskRecord& record,
                                        TaskActions& actions) {
-  task.unsaved.reset();
+  // The record may be the unsaved one.
   task.transition = Append(record, actions);
+  task.unsaved.reset();
 }
 
 void TaskTable::Impl::AppendCancel(Task& task, TaskActions& actions) {
--- a/gypsumfall/tasks/records_test.cc
+++ b/gypsumfall/tasks/records_test.cc
@@ -8,22 +8,23 @@
 namespace gypsumfall {
 namespace {
 
-const TaskKey kKey{CustomerId("c"), TaskId("t\"\xff")};
-const TaskSpec kSpec{.kind = KindId("k"),
-                     .resources = {MilliCores(1), MebiBytes(2), {}},
-                     .idempotent = false,
-                     .resumable = true,
-                     .urgency = -3,
-                     .run_without_contact = seconds(7)};
+const TaskKey task_key{CustomerId("c"), TaskId("t\"\xff")};
+const TaskSpec default_spec{.kind = KindId("k"),
+                            .resources = {MilliCores(1), MebiBytes(2), {}},
+                            .idempotent = false,
+                            .resumable = true,
+                            .urgency = -3,
+                            .run_without_contact = seconds(7)};
 
 // Guards against a field that is lost between owners.
 TEST_CASE("records survive their text form") {
   const std::vector<TaskRecord> records = {
-      AcceptedRecord{kKey, kSpec, std::string("p\0\n", 3), 9, AttemptNumber(4)},
-      IntentRecord{kKey, AttemptNumber(5), WorkerId("w"), Incarnation(6)},
-      StoppedRecord{kKey, AttemptNumber(5), WasRun::kYes, true, true, "cp",
+      AcceptedRecord{task_key, default_spec, std::string("p\0\n", 3), 9,
+                     AttemptNumber(4)},
+      IntentRecord{task_key, AttemptNumber(5), WorkerId("w"), Incarnation(6)},
+      StoppedRecord{task_key, AttemptNumber(5), WasRun::kYes, true, true, "cp",
                     "text"},
-      DoneRecord{kKey, AttemptNumber(5), "result"}, CancelRecord{kKey}};
+      DoneRecord{task_key, AttemptNumber(5), "result"}, CancelRecord{task_key}};
   for (const TaskRecord& record : records) {
     const std::string text = EncodeRecord(record);
     INFO(text);
@@ -31,7 +32,7 @@
     REQUIRE(decoded);
     CHECK(decoded->index() == record.index());
     CHECK(EncodeRecord(*decoded) == text);
-    CHECK(KeyOf(*decoded) == kKey);
+    CHECK(KeyOf(*decoded) == task_key);
   }
 }
 
@@ -50,8 +51,8 @@
 // Guards against a snapshot that drops state which the log rows held.
 TEST_CASE("a snapshot restores the same state") {
   TestOwner owner;
-  owner.Submit("done", kSpec);
-  owner.Submit("starting", kSpec);
+  owner.Submit("done", default_spec);
+  owner.Submit("starting", default_spec);
   AttemptReport report;
   report.id = owner.All<StartAttempt>().at(0).id;
   report.state = AttemptState::kFinished;
@@ -73,12 +74,12 @@
   AttemptReport report;
   report.state = AttemptState::kFinished;
   for (const char* id : {"a", "b", "c"}) {
-    owner.Submit(id, kSpec);
+    owner.Submit(id, default_spec);
     report.id = owner.All<StartAttempt>().back().id;
     owner.Report(report);
   }
   CHECK(owner.table.counts().tasks == 2);
-  owner.Submit("a", kSpec);
+  owner.Submit("a", default_spec);
   CHECK(owner.All<StartAttempt>().back().id.number == AttemptNumber(2));
   report.id = {CustomerId("c"), TaskId("a"), AttemptNumber(1)};
   owner.Report(report);
--- a/gypsumfall/tasks/tasks_test.cc
+++ b/gypsumfall/tasks/tasks_test.cc
@@ -9,11 +9,11 @@
 namespace gypsumfall {
 namespace {
 
-const TaskSpec kIdempotent{.kind = KindId("k")};
-const TaskSpec kOnce{.kind = KindId("k"), .idempotent = false};
-const TaskSpec kOnceResumable{
+const TaskSpec idempotent{.kind = KindId("k")};
+const TaskSpec once{.kind = KindId("k"), .idempotent = false};
+const TaskSpec once_resumable{
     .kind = KindId("k"), .idempotent = false, .resumable = true};
-const TaskKey kKey{CustomerId("c"), TaskId("t")};
+const TaskKey task_key{CustomerId("c"), TaskId("t")};
 
 enum class Step {
   kStarted,
@@ -41,9 +41,10 @@
 
 void Report(TestOwner& owner, AttemptState state, bool started,
             std::uint32_t back = 0, const std::string& checkpoint = "") {
-  const AttemptNumber number(owner.table.Status(kKey)->attempt.value() - back);
+  const AttemptNumber number(owner.table.Status(task_key)->attempt.value() -
+                             back);
   AttemptReport report;
-  report.id = {kKey.customer, kKey.task, number};
+  report.id = {task_key.customer, task_key.task, number};
   report.state = state;
   report.started = started;
   report.checkpoint = checkpoint;
@@ -70,8 +71,8 @@
 // Calls, commands and time.
 void Do(TestOwner& owner, Step step) {
   using enum Step;
-  const TaskStatus status = *owner.table.Status(kKey);
-  const AttemptId id{kKey.customer, kKey.task, status.attempt};
+  const TaskStatus status = *owner.table.Status(task_key);
+  const AttemptId id{task_key.customer, task_key.task, status.attempt};
   TaskTable& table = owner.table;
   const Time now = owner.now;
   const StartAttemptReply refused{RefusalReason::kNoSlot, {}};
@@ -92,7 +93,7 @@
   }
   if (step == kLeaseEnd) owner.Advance(seconds(632));
   if (step == kTakeOver) owner.TakeOver(seconds(7));
-  if (step == kCancel) owner.Take(table.Cancel(kKey, now).actions);
+  if (step == kCancel) owner.Take(table.Cancel(task_key, now).actions);
   if (step == kEvict) owner.Take(table.Evict(id, now));
   if (step == kHold) owner.hold = true;
   if (step == kStore) owner.hold = false;
@@ -119,151 +120,151 @@
 TEST_CASE("each fault leaves the task in the one right state") {
   using enum Step;
   const std::vector<FaultCase> cases = {
-      {"finishes", kIdempotent, {kStarted, kFinished}, "done/1/yes", 1},
+      {"finishes", idempotent, {kStarted, kFinished}, "done/1/yes", 1},
       {"result before the start reply",
-       kIdempotent,
+       idempotent,
        {kFinished},
        "done/1/yes",
        1},
       {"start reply lost",
-       kIdempotent,
+       idempotent,
        {kStartLost, kRunning, kFinished},
        "done/1/yes",
        1},
       {"start lost",
-       kIdempotent,
+       idempotent,
        {kStartLost, kWait, kStarted},
        "running/1/unknown",
        2},
-      {"refused", kOnce, {kRefused}, "starting/2/unknown", 2},
+      {"refused", once, {kRefused}, "starting/2/unknown", 2},
       {"refusal of a second copy proves nothing",
-       kOnce,
+       once,
        {kStartLost, kWait, kRefused},
        "starting/1/unknown",
        2},
       {"second copy refused, then closed",
-       kOnce,
+       once,
        {kStartLost, kWait, kRefused, kNeverStarted},
        "starting/2/unknown",
        3},
       {"evicted with checkpoint",
-       kOnce,
+       once,
        {kStarted, kEvict, kStopped},
        "starting/2/unknown",
        2},
       {"evicted while finishing",
-       kOnce,
+       once,
        {kStarted, kEvict, kFinished},
        "done/1/yes",
        1},
       {"late result of an old attempt",
-       kIdempotent,
+       idempotent,
        {kStarted, kStopped, kFinishedOld},
        "starting/2/unknown",
        2},
       {"duplicate result",
-       kIdempotent,
+       idempotent,
        {kStarted, kFinished, kFinished},
        "done/1/yes",
        1},
       {"fails three times",
-       kIdempotent,
+       idempotent,
        {kStarted, kFailed, kStarted, kFailed, kStarted, kFailed},
        "failed/3/yes",
        3},
       {"fails once, not idempotent",
-       kOnce,
+       once,
        {kStarted, kFailed},
        "failed/1/yes",
        1},
       {"lease ends",
-       kIdempotent,
+       idempotent,
        {kStarted, kLeaseEnd},
        "starting/2/unknown",
        2},
       {"lease ends, not idempotent",
-       kOnce,
+       once,
        {kStarted, kLeaseEnd},
        "failed/1/unknown",
        1},
       {"lease ends, checkpointed",
-       kOnce,
+       once,
        {kStarted, kCheckpoint, kLeaseEnd},
        "starting/2/unknown",
        2},
       {"lease ends, resumable",
-       kOnceResumable,
+       once_resumable,
        {kStarted, kLeaseEnd},
        "starting/2/unknown",
        2},
       {"worker restarted",
-       kIdempotent,
+       idempotent,
        {kStarted, kRestarted},
        "starting/2/unknown",
        2},
       {"worker restarted, not idempotent",
-       kOnce,
+       once,
        {kStarted, kRestarted},
        "failed/1/unknown",
        1},
       {"late message of an older incarnation",
-       kOnce,
+       once,
        {kStarted, kOldIncarnation},
        "running/1/unknown",
        1},
-      {"cancelled", kOnce, {kStarted, kCancel, kStopped}, "cancelled/1/yes", 1},
+      {"cancelled", once, {kStarted, kCancel, kStopped}, "cancelled/1/yes", 1},
       {"cancelled before it started",
-       kOnce,
+       once,
        {kCancel, kNeverStarted},
        "cancelled/1/no",
        1},
       {"cancelled, worker gone",
-       kOnce,
+       once,
        {kCancel, kRestarted},
        "cancelled/1/unknown",
        1},
       {"cancelled, result first",
-       kOnce,
+       once,
        {kStarted, kHold, kFinished, kCancel, kStore},
        "done/1/yes",
        1},
       {"cancelled, cancellation first",
-       kOnce,
+       once,
        {kStarted, kHold, kCancel, kFinished, kStore},
        "done/1/yes",
        1},
       {"cancelled, then finished",
-       kOnce,
+       once,
        {kStarted, kCancel, kFinished},
        "done/1/yes",
        1},
       {"journal refuses the result",
-       kOnce,
+       once,
        {kStarted, kHold, kFinished, kRefuse, kStore, kWait},
        "done/1/yes",
        1},
       {"taken over, adopted",
-       kOnce,
+       once,
        {kStarted, kTakeOver, kRunning, kFinished},
        "done/1/yes",
        1},
       {"taken over before the start",
-       kOnce,
+       once,
        {kTakeOver, kUnlisted, kNeverStarted},
        "starting/2/unknown",
        2},
       {"taken over, worker silent",
-       kOnce,
+       once,
        {kTakeOver, kLeaseEnd},
        "failed/1/unknown",
        1},
       {"taken over, cancelled",
-       kOnce,
+       once,
        {kCancel, kTakeOver, kStopped},
        "cancelled/1/yes",
        1},
       {"taken over with an unstored result",
-       kOnce,
+       once,
        {kStarted, kHold, kFinished, kTakeOver, kStore, kFinished},
        "done/1/yes",
        1},
@@ -274,7 +275,7 @@
     owner.Submit("t", row.spec);
     REQUIRE(owner.All<StartAttempt>().size() == 1);
     for (const Step step : row.steps) Do(owner, step);
-    const TaskStatus status = *owner.table.Status(kKey);
+    const TaskStatus status = *owner.table.Status(task_key);
     CHECK(std::string(TaskStateName(status.state)) + "/" +
               std::to_string(status.attempt.value()) + "/" +
               std::string(WasRunName(status.was_run)) ==
@@ -291,7 +292,7 @@
 // Guards against resuming from the beginning although progress is kept.
 TEST_CASE("an attempt resumes from the last confirmed checkpoint") {
   TestOwner owner;
-  owner.Submit("t", kOnce);
+  owner.Submit("t", once);
   Do(owner, Step::kCheckpoint);
   Do(owner, Step::kLeaseEnd);
   CHECK(owner.All<StartAttempt>().back().checkpoint == "cp");
@@ -301,7 +302,7 @@
 // forgets an outcome which is not durable.
 TEST_CASE("an outcome is acknowledged once durable, and when late") {
   TestOwner owner;
-  owner.Submit("t", kIdempotent);
+  owner.Submit("t", idempotent);
   Do(owner, Step::kHold);
   Do(owner, Step::kFinished);
   CHECK(owner.All<AcknowledgeAttempt>().empty());
@@ -319,7 +320,7 @@
   owner.hold = true;
   owner.grant = false;
   const auto submit = [&owner](const std::string& payload) {
-    return owner.table.Submit(kKey, kIdempotent, payload, {}, owner.now);
+    return owner.table.Submit(task_key, idempotent, payload, {}, owner.now);
   };
   TaskDecision first = submit("a");
   CHECK(first.status->state == TaskState::kAccepting);
@@ -330,11 +331,11 @@
   owner.Refuse();
   REQUIRE(owner.All<Notify>().size() == 1);
   CHECK(owner.All<Notify>()[0].status.was_run == WasRun::kNo);
-  CHECK_FALSE(owner.table.Status(kKey));
+  CHECK_FALSE(owner.table.Status(task_key));
   owner.Take(submit("b").actions);
   owner.Store();
   CHECK(submit("b").status->state == TaskState::kQueued);
-  owner.Take(owner.table.Cancel(kKey, owner.now).actions);
+  owner.Take(owner.table.Cancel(task_key, owner.now).actions);
   owner.Take(owner.table.OnLost(owner.held[0].ticket, owner.now));
   CHECK(owner.All<Notify>().back().status.error->kind ==
         ErrorKind::kOutcomeUnknown);
@@ -346,11 +347,11 @@
 TEST_CASE("tasks are placed by urgency, then arrival, within the limit") {
   TestOwner owner;
   owner.grant = false;
-  TaskSpec batch = kIdempotent;
+  TaskSpec batch = idempotent;
   batch.urgency = 5;
   owner.hold = true;
   for (const char* id : {"b1", "b2"}) owner.Submit(id, batch);
-  for (const char* id : {"u1", "u2"}) owner.Submit(id, kIdempotent);
+  for (const char* id : {"u1", "u2"}) owner.Submit(id, idempotent);
   const CustomerId customer("c");
   owner.table.SetLimits(customer, {.queued = 4, .running = 3});
   owner.Store();
