Add the fleet: attach, ledgers, placement and worker health

A worker must never be given more than it carries, although owners change, answers are lost and commands are delayed. One ledger per owned worker counts everything of unknown outcome as given, is replaced by the worker's own report at attach, and releases room only on proof. Candidates come from buckets by spare capacity, of which a small seeded sample is scored. A host that lost a worker to another backs off before it attaches again; before, two hosts that disagreed could alternate with each heartbeat.

--- a/gypsumfall/fleet/internal/fleet_state.h
+++ b/gypsumfall/fleet/internal/fleet_state.h
@@ -1,14 +1,19 @@
 #ifndef GYPSUMFALL_FLEET_INTERNAL_FLEET_STATE_H_
 #define GYPSUMFALL_FLEET_INTERNAL_FLEET_STATE_H_
 
-#include <memory>
+#include <cstdint>
+#include <deque>
+#include <map>
 #include <optional>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 #include "gypsumfall/base/base.h"
+#include "gypsumfall/fleet/internal/capacity_index.h"
 #include "gypsumfall/fleet/internal/fleet_types.h"
 #include "gypsumfall/fleet/internal/placement_policy.h"
+#include "gypsumfall/fleet/internal/worker_record.h"
 #include "gypsumfall/protocol/protocol.h"
 
 namespace gypsumfall {
@@ -19,7 +24,6 @@
   explicit FleetState(FleetSettings settings);
   FleetState(const FleetState&) = delete;
   FleetState& operator=(const FleetState&) = delete;
-  ~FleetState();
 
   /// Takes the platform's list; workers that are no longer listed are lost.
   FleetActions OnHostList(std::span<const ListedHost> hosts, Time now);
@@ -39,11 +43,14 @@
                                  const Result<WorkerHeartbeatReply>& reply,
                                  Time sent_at, Time now);
 
-  /// Takes the answer to a request or to a `SendResolve`. An error keeps the
-  /// room until the worker has said what became of the exchange.
-  FleetActions OnRequestAnswer(const WorkerId& worker,
-                               const ExchangeId& exchange,
-                               const Result<RequestReply>& reply, Time now);
+  /// Takes the answer to a request. An error keeps the room until the worker
+  /// has said what became of the exchange.
+  void OnRequestAnswer(const WorkerId& worker, const ExchangeId& exchange,
+                       const Result<RequestReply>& reply, Time now);
+  /// Takes the answer to a `SendResolve` or to another cancel of the exchange.
+  /// A refused cancel says nothing about the exchange.
+  void OnResolveAnswer(const WorkerId& worker, const ExchangeId& exchange,
+                       const Result<RequestReply>& reply, Time now);
   /// The request was placed but certainly not sent.
   void AbandonRequest(const WorkerId& worker, const ExchangeId& exchange);
 
@@ -51,8 +58,9 @@
   /// @return where and how, or `kNoCapacity` if the reservation has lapsed or
   ///     the worker may not get work now.
   Result<Placement> StartAttempt(const AttemptId& attempt, Time now);
-  FleetActions OnStartAnswer(const AttemptId& attempt,
-                             const Result<StartAttemptReply>& reply, Time now);
+  /// @param sent what `StartAttempt` returned for the answered call.
+  void OnStartAnswer(const AttemptId& attempt, const Placement& sent,
+                     const Result<StartAttemptReply>& reply, Time now);
   /// Gives up a reservation that was not started.
   void AbandonAttempt(const AttemptId& attempt);
   FleetActions OnStopAnswer(const AttemptId& attempt,
@@ -77,6 +85,8 @@
   FleetActions OnReleaseAsked(const RackId& rack, const EntryHostId& by);
   /// Gives up all workers and attaches none any more (planned stop).
   FleetActions ReleaseAll();
+  /// The owner that was asked has released the rack.
+  void OnRackReleased(const RackId& rack, const EntryHostId& by, Time now);
 
   /// @return why the work fits no listed host even when empty, or nullopt.
   std::optional<NeverFitsReason> NeverFits(const Work& work) const;
@@ -104,8 +114,85 @@
   std::optional<Placement> Reserved(const AttemptId& attempt, Time now);
 
  private:
-  class Impl;
-  std::unique_ptr<Impl> impl_;
+  struct Reservation {
+    Time lapses_at;
+    AttemptId attempt;
+  };
+  /// A capacity that hosts of the list have, with a few of them.
+  struct Shape {
+    Resources capacity;
+    std::vector<WorkerId> hosts;
+  };
+
+  // Ownership (fleet_state.cc).
+  void AddToRack(WorkerIndex index);
+  void RefreshWanted(Time now);
+  bool HeldByPresent(const RackId& rack) const;
+  bool ShouldOwn(const RackId& rack, RackRecord& record, Time now);
+  void StepAttach(WorkerIndex index, Time now, FleetActions& out);
+  void BackOff(WorkerRecord& worker, Time now) const;
+  bool OwnerStillHolds(const WorkerRecord& worker, Time now) const;
+  void StepOwned(WorkerIndex index, Time now, FleetActions& out);
+  void SendHeartbeat(WorkerRecord& worker, Time now, FleetActions& out);
+  void SendResolves(WorkerRecord& worker, Time now, FleetActions& out);
+  void Lose(WorkerIndex index, WorkerLossReason reason, FleetActions& out);
+  void ClearLedger(WorkerIndex index);
+  void LapseReservations(Time now);
+  CommandHeader HeaderFor(const WorkerRecord& worker, Time now) const;
+  Placement PlacementOn(const WorkerRecord& worker, Time now) const;
+
+  // Answers (fleet_answers.cc).
+  void Adopt(WorkerIndex index, const AttachReply& reply, Time sent_at,
+             Time now);
+  void OnAttachRefused(WorkerRecord& worker, const AttachReply& reply,
+                       bool query, Time now);
+  void TakeAttempts(WorkerIndex index, const WorkerHeartbeatReply& reply,
+                    Time sent_at, Time now, FleetActions& out);
+  void TakeReport(WorkerIndex index, const AttemptReport& report, Time now,
+                  FleetActions& out);
+  void DropAbsent(WorkerIndex index, const WorkerHeartbeatReply& reply,
+                  Time sent_at, FleetActions& out);
+  void Restarted(WorkerIndex index, Time now, FleetActions& out);
+  void AddReported(WorkerIndex index, const AttemptReport& report, Time now);
+  static void SendAgain(WorkerRecord& worker, const WorkerHeartbeatCall& call);
+  static void TakeUsage(WorkerRecord& worker,
+                        const std::vector<UsageReport>& usage,
+                        FleetActions& out);
+  void Forget(WorkerIndex index, const AttemptId& attempt);
+
+  // Work (fleet_work.cc).
+  bool MayReceive(const WorkerRecord& worker, Time now) const;
+  bool Fits(const WorkerRecord& worker, const Work& work, bool urgent,
+            const Avoid& avoid, Time now) const;
+  WorkerIndex DueProbe(const Work& work, bool urgent, const Avoid& avoid,
+                       Time now) const;
+  static WorkerTime ClockOf(const WorkerRecord& worker, Time now);
+  void NoteProbe(WorkerRecord& worker, Time now) const;
+  void RecordOutcome(WorkerIndex index, const Work& work, bool failed,
+                     Time now);
+  void Reindex(WorkerIndex index);
+  void EndExchange(WorkerIndex index, const ExchangeId& exchange,
+                   ExchangeState state, Time now);
+  void UpdateShapes();
+  WorkerIndex IndexOf(const WorkerId& worker) const;
+  std::size_t Random(std::size_t below);
+  WorkerHealth::Limits HealthLimits() const;
+
+  FleetSettings settings_;
+  FleetHosts hosts_;
+  bool stopping_ = false;
+  std::vector<WorkerRecord> workers_;
+  std::unordered_map<WorkerId, WorkerIndex> by_id_;
+  std::map<RackId, RackRecord> racks_;
+  std::map<AttemptId, WorkerIndex> attempts_;
+  std::deque<Reservation> reservations_;
+  std::vector<WorkerIndex> unhealthy_;
+  std::vector<Shape> shapes_;
+  CapacityIndex request_index_;
+  CapacityIndex attempt_index_;
+  std::vector<WorkerIndex> candidates_;
+  std::uint64_t random_;
+  Time next_wanted_;
 };
 
 }  // namespace gypsumfall
--- a/gypsumfall/fleet/internal/fleet_types.h
+++ b/gypsumfall/fleet/internal/fleet_types.h
@@ -26,11 +26,20 @@
   Duration reservation = seconds(5);
   Duration min_attach_backoff = seconds(1);
   Duration max_attach_backoff = seconds(16);
+  /// A preferred owner may have learnt of an owner that its peers have not
+  /// heard of yet; only after this is an owner that does not list the rack
+  /// ignored.
+  Duration owner_report_delay = seconds(3);
+  /// The second choice attaches a rack that nobody has owned for this long,
+  /// because the preferred owner may not reach it.
+  Duration unowned_limit = seconds(10);
   /// Failures in a row, of different customers or kinds, that make a worker
   /// unhealthy.
   int unhealthy_after = 3;
   Duration min_probe_interval = seconds(5);
   Duration max_probe_interval = std::chrono::minutes(5);
+  /// A worker that is no longer listed is given up after this silence.
+  Duration removal_silence = seconds(30);
   /// How often an exchange of unknown outcome is looked up at its worker.
   Duration resolve_interval = seconds(1);
   /// Seeds the choice of candidates.
--- a/gypsumfall/fleet/internal/placement_policy.h
+++ b/gypsumfall/fleet/internal/placement_policy.h
@@ -26,8 +26,7 @@
   MilliCores load;
   int slots = 0;
   int spare_slots = 0;
-  /// Whether the worker, or its rack, should rather be avoided.
-  bool avoid = false;
+  /// Whether its rack should rather be avoided.
   bool avoid_rack = false;
   bool urgent = false;
 };
