Add the services of an entry host and the platform clients

Cause: the decision libraries need a process around them. Change: gypsumfall/entry with one service each for the store, membership, ownership, contracts, workers, tasks, requests and the listener; gypsumfall/platform; the heartbeat's parts move to gypsumfall/protocol. Result: compiles; the process is not run yet as the stand-ins are missing.

--- a/gypsumfall/admission/admission.h
+++ b/gypsumfall/admission/admission.h
@@ -32,6 +32,7 @@
 #include <vector>
 
 #include "gypsumfall/base/base.h"
+#include "gypsumfall/protocol/protocol.h"
 
 namespace gypsumfall {
 
@@ -72,43 +73,6 @@
 /// @return a fixed readable name such as "over_rate".
 std::string_view VerdictName(Verdict verdict);
 
-/// Names one grant of one lender process.
-struct LoanId {
-  Incarnation lender;
-  std::uint64_t number = 0;
-
-  friend auto operator<=>(const LoanId&, const LoanId&) = default;
-};
-
-/// Units one host wants to borrow for one customer.
-struct LoanWant {
-  CustomerId customer;
-  ContractVersion version;
-  std::int64_t burst = 0;
-  std::int64_t concurrent = 0;
-};
-
-/// Part of a heartbeat: what this host would borrow from each peer. Customers
-/// that need nothing are left out.
-struct LoanReport {
-  std::vector<LoanWant> wants;
-};
-
-/// Units lent to one peer; replaces no earlier grant: of unexpired grants of
-/// one lender the largest counts.
-struct LoanGrant {
-  LoanId id;
-  CustomerId customer;
-  ContractVersion version;
-  std::int64_t burst = 0;
-  std::int64_t concurrent = 0;
-};
-
-/// Part of the answer to a heartbeat.
-struct LoanGrants {
-  std::vector<LoanGrant> grants;
-};
-
 /// Use of one customer's share on this host.
 struct AdmissionView {
   ContractVersion version;
--- /dev/null
+++ b/gypsumfall/entry/internal/store_service.h
@@ -0,0 +1,34 @@
+#ifndef GYPSUMFALL_ENTRY_INTERNAL_STORE_SERVICE_H_
+#define GYPSUMFALL_ENTRY_INTERNAL_STORE_SERVICE_H_
+
+#include <functional>
+#include <string>
+
+#include "gypsumfall/entry/internal/context.h"
+#include "gypsumfall/platform/platform.h"
+#include "gypsumfall/protocol/protocol.h"
+
+namespace gypsumfall {
+
+/// The platform's services as this entry host reaches them.
+class StoreService : public Service {
+ public:
+  explicit StoreService(const EntryContext& context);
+
+  Result<void> Start() override { return {}; }
+  void Stop(std::function<void()> stopped) override { stopped(); }
+  std::string Dump() const override;
+
+  TableClient& table() { return table_; }
+  ObjectClient& objects() { return objects_; }
+  HostListClient& host_list() { return host_list_; }
+
+ private:
+  TableClient table_;
+  ObjectClient objects_;
+  HostListClient host_list_;
+};
+
+}  // namespace gypsumfall
+
+#endif  // GYPSUMFALL_ENTRY_INTERNAL_STORE_SERVICE_H_
--- /dev/null
+++ b/gypsumfall/entry/membership_service.cc
@@ -0,0 +1,193 @@
+#include "gypsumfall/entry/internal/membership_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gypsumfall/entry/internal/contract_service.h"
+#include "gypsumfall/entry/internal/ownership_service.h"
+#include "gypsumfall/entry/internal/request_service.h"
+#include "gypsumfall/entry/internal/worker_service.h"
+
+namespace gypsumfall {
+namespace {
+
+constexpr Duration kTick = milliseconds(200);
+constexpr Duration kHeartbeatTimeout = seconds(1);
+
+MembershipSettings SettingsFrom(const EntrySettings& settings) {
+  MembershipSettings result;
+  result.self = settings.host.id;
+  result.data_centre = settings.host.data_centre;
+  return result;
+}
+
+}  // namespace
+
+MembershipService::MembershipService(const EntryContext& context)
+    : context_(context),
+      log_("membership"),
+      membership_(SettingsFrom(context.settings)) {}
+
+Result<void> MembershipService::Start() {
+  for (const PeerSettings& peer : context_.settings.peers) {
+    membership_.AddPeer({peer.id, peer.data_centre, peer.address.ToString()},
+                        context_.Now());
+  }
+  context_.runtime.Every(kTick, [this] { Tick(); });
+  return {};
+}
+
+void MembershipService::Tick() {
+  const Time now = context_.Now();
+  membership_.Tick(now);
+  const std::vector<HeartbeatTarget> targets =
+      membership_.HeartbeatTargets(now);
+  if (!targets.empty()) {
+    ++beat_;
+    auto* requests = context_.kernel.Find<RequestService>(kRequestService);
+    const LoanReport wants = requests->admission().Report(now);
+    for (const HeartbeatTarget& target : targets) Send(target, wants);
+  }
+  NotifyIfChanged();
+}
+
+void MembershipService::Send(const HeartbeatTarget& target,
+                             const LoanReport& wants) {
+  HeartbeatMessage message = OwnMessage();
+  message.wants = wants;
+  if (const auto asked = release_.find(target.id); asked != release_.end()) {
+    message.release = std::move(asked->second);
+    release_.erase(asked);
+  }
+  HttpCall call{.path = "/peer/v1/heartbeat",
+                .bearer = context_.settings.keys.peer_key.Reveal(),
+                .body = Encode(message)};
+  const Time asked = context_.Now();
+  context_.clients.Call(
+      target.address, std::move(call), kHeartbeatTimeout,
+      [this, id = target.id, asked](CallOutcome outcome) {
+        OnCallOutcome(id, outcome);
+        if (outcome.failure || outcome.status != 200) return;
+        const Result<HeartbeatMessage> reply =
+            Decode<HeartbeatMessage>(outcome.body);
+        if (!reply) {
+          log_.Warning("heartbeat answer is malformed", {{"peer", id}});
+          return;
+        }
+        Take(*reply);
+        context_.kernel.Find<RequestService>(kRequestService)
+            ->admission()
+            .OnLoan(id, reply->grants, asked, context_.Now());
+        NotifyIfChanged();
+      });
+}
+
+HeartbeatMessage MembershipService::OwnMessage() const {
+  auto* ownership = context_.kernel.Find<OwnershipService>(kOwnershipService);
+  auto* workers = context_.kernel.Find<WorkerService>(kWorkerService);
+  auto* contracts = context_.kernel.Find<ContractService>(kContractService);
+  HeartbeatMessage message;
+  HostSummary& sender = message.heartbeat.sender;
+  sender.peer = {context_.self(), context_.settings.host.data_centre,
+                 context_.settings.host.listen.ToString()};
+  sender.incarnation = ownership->incarnation();
+  sender.beat = beat_;
+  sender.leaving = leaving_;
+  sender.spare_slots = workers->fleet().SpareSlots();
+  sender.contract_revision = contracts->revision();
+  sender.owned_racks = workers->fleet().OwnedRacks();
+  message.heartbeat.relayed = membership_.Relayed();
+  message.partitions = ownership->OwnedPartitions();
+  return message;
+}
+
+void MembershipService::Take(const HeartbeatMessage& message) {
+  const Time now = context_.Now();
+  membership_.OnHeartbeat(message.heartbeat, now);
+  const HostSummary& sender = message.heartbeat.sender;
+  ContractRevision newest = sender.contract_revision;
+  for (const HostSummary& relayed : message.heartbeat.relayed) {
+    newest = std::max(newest, relayed.contract_revision);
+  }
+  context_.kernel.Find<ContractService>(kContractService)
+      ->OnPeerRevision(newest);
+  auto* ownership = context_.kernel.Find<OwnershipService>(kOwnershipService);
+  for (const OwnedPartition& partition : message.partitions) {
+    ownership->OnPeerPartition(partition, sender.peer.id, sender.incarnation);
+  }
+  auto* workers = context_.kernel.Find<WorkerService>(kWorkerService);
+  for (const RackId& rack : message.release) {
+    workers->OnReleaseAsked(rack, sender.peer.id);
+  }
+}
+
+HeartbeatMessage MembershipService::OnHeartbeat(
+    const HeartbeatMessage& message) {
+  Take(message);
+  NotifyIfChanged();
+  HeartbeatMessage reply = OwnMessage();
+  reply.grants = context_.kernel.Find<RequestService>(kRequestService)
+                     ->admission()
+                     .Grant(message.heartbeat.sender.peer.id, message.wants,
+                            context_.Now());
+  return reply;
+}
+
+void MembershipService::Leave() {
+  leaving_ = true;
+  membership_.Leave();
+  // Peers must not send new work until the next regular heartbeat is due.
+  const LoanReport nothing;
+  ++beat_;
+  for (const PeerSettings& peer : context_.settings.peers) {
+    Send({peer.id, peer.address.ToString()}, nothing);
+  }
+  NotifyIfChanged();
+}
+
+void MembershipService::AskRelease(const EntryHostId& owner,
+                                   const RackId& rack) {
+  std::vector<RackId>& racks = release_[owner];
+  if (std::find(racks.begin(), racks.end(), rack) == racks.end()) {
+    racks.push_back(rack);
+  }
+}
+
+void MembershipService::OnCallOutcome(const EntryHostId& peer,
+                                      const CallOutcome& outcome) {
+  if (!outcome.failure) return;
+  if (*outcome.failure == CallFailure::kRefused) {
+    membership_.OnCallRefused(peer, context_.Now());
+  } else if (*outcome.failure == CallFailure::kTimedOut) {
+    membership_.OnCallTimedOut(peer, context_.Now());
+  }
+  NotifyIfChanged();
+}
+
+std::string MembershipService::AddressOf(const EntryHostId& peer) const {
+  const HostView* view = membership_.Host(peer);
+  return view == nullptr ? std::string() : view->summary.peer.address;
+}
+
+void MembershipService::NotifyIfChanged() {
+  if (membership_.version() == seen_version_) return;
+  seen_version_ = membership_.version();
+  if (on_change) on_change();
+}
+
+std::string MembershipService::Dump() const {
+  std::string text;
+  for (const PeerSettings& peer : context_.settings.peers) {
+    const HostView* view = membership_.Host(peer.id);
+    if (view == nullptr) continue;
+    text += "peer " + peer.id.str() + " in " + peer.data_centre.str() + ": " +
+            std::string(HostStateName(view->state)) + ", incarnation " +
+            std::to_string(view->summary.incarnation.value()) +
+            ", contract revision " +
+            std::to_string(view->summary.contract_revision.value()) +
+            ", spare slots " + std::to_string(view->summary.spare_slots) + "\n";
+  }
+  return text;
+}
+
+}  // namespace gypsumfall
--- /dev/null
+++ b/gypsumfall/entry/request_service.cc
@@ -0,0 +1,353 @@
+#include "gypsumfall/entry/internal/request_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gypsumfall/entry/internal/contract_service.h"
+#include "gypsumfall/entry/internal/ownership_service.h"
+
+namespace gypsumfall {
+namespace {
+
+// An answer may still arrive this long after the caller was answered; it then
+// resolves the unknown outcome without a look-up.
+constexpr Duration kLateAnswer = seconds(1);
+constexpr Duration kResolveTimeout = seconds(1);
+
+AdmissionSettings AdmissionFrom(const EntrySettings& settings,
+                                Incarnation incarnation) {
+  AdmissionSettings result{.self = settings.host.id,
+                           .incarnation = incarnation};
+  result.hosts.push_back(settings.host.id);
+  for (const PeerSettings& peer : settings.peers) {
+    result.hosts.push_back(peer.id);
+  }
+  return result;
+}
+
+CallerAnswer Refusal(ErrorKind kind, std::string detail) {
+  return {.was_run = AnswerFor(kind).was_run,
+          .error = kind,
+          .detail = std::move(detail)};
+}
+
+// Distinguishes processes of this host without the table service, which may be
+// out of reach at the start.
+Incarnation ProcessIncarnation(Time now) {
+  return Incarnation(
+      static_cast<std::uint64_t>(now.time_since_epoch().count()));
+}
+
+}  // namespace
+
+RequestService::RequestService(const EntryContext& context)
+    : context_(context),
+      log_("requests"),
+      admission_(
+          AdmissionFrom(context.settings, ProcessIncarnation(context.Now())),
+          context.Now()),
+      table_(std::make_unique<RequestTable>(RequestSettings{},
+                                            StableHash(context.self().str()))),
+      exchanges_(std::make_unique<ExchangeIdSource>(
+          context.self(), ProcessIncarnation(context.Now()))),
+      timer_(context.runtime,
+             [this] {
+               Perform(table_->Tick(context_.Now()));
+               Arm();
+             }),
+      forwarded_(context.metrics.AddCounter("requests_forwarded_total")),
+      latency_(context.metrics.AddLatency("request_latency_seconds")) {
+  for (const WasRun was_run : {WasRun::kNo, WasRun::kYes, WasRun::kUnknown}) {
+    answers_by_was_run_.push_back(&context.metrics.AddCounter(
+        "requests_answered_total",
+        {{"was_run", std::string(WasRunName(was_run))}}));
+  }
+}
+
+Result<void> RequestService::Start() {
+  auto* workers = context_.kernel.Find<WorkerService>(kWorkerService);
+  workers->on_reply = [this](const WorkerId& worker,
+                             const RequestReply& reply) {
+    Perform(table_->OnReply(reply, worker, context_.Now()));
+    Perform(table_->OnRoom(context_.Now()));
+    Arm();
+  };
+  workers->on_send_failed = [this](const ExchangeId& exchange,
+                                   bool certainly_not_sent) {
+    Perform(table_->OnSendFailed(exchange, certainly_not_sent, context_.Now()));
+    Arm();
+  };
+  workers->on_cancel_reply = [this](const WorkerId& worker,
+                                    const RequestReply& reply) {
+    Perform(table_->OnCancelReply(reply, worker, context_.Now()));
+    Arm();
+  };
+  workers->on_worker_lost = [this](const WorkerId& worker) {
+    Perform(table_->OnWorkerLost(worker, context_.Now()));
+    Arm();
+  };
+  workers->on_room = [this] {
+    if (table_->waiting() > 0) Perform(table_->OnRoom(context_.Now()));
+    FinishStopIfDone();
+  };
+  return {};
+}
+
+void RequestService::SetLimits(const Contract& contract) {
+  admission_.SetLimits(
+      contract.customer, contract.version,
+      {.rate = static_cast<double>(contract.ceiling.requests_per_second),
+       .burst = contract.ceiling.burst,
+       .concurrent = contract.ceiling.concurrent_requests},
+      context_.Now());
+}
+
+bool RequestService::Admit(const IncomingRequest& request, const Done& done) {
+  const Verdict verdict =
+      admission_.Admit(request.customer, request.deadline, context_.Now());
+  if (verdict == Verdict::kAdmitted) return true;
+  const ErrorKind kind = verdict == Verdict::kUnknownCustomer
+                             ? ErrorKind::kUnauthenticated
+                             : ErrorKind::kOverLimit;
+  done(Refusal(kind, std::string(VerdictName(verdict))));
+  return false;
+}
+
+void RequestService::Run(IncomingRequest request, Done done) {
+  const Time now = context_.Now();
+  if (stopped_) {
+    done(Refusal(ErrorKind::kStopping, "send it to another entry host"));
+    return;
+  }
+  const bool admitted = !request.from_peer;
+  if (admitted && !Admit(request, done)) return;
+  const std::uint64_t content =
+      StableHash(request.rule.kind.str() + "\n" + request.payload);
+  BeginOutcome begun = table_->Begin(request.customer, request.id,
+                                     {.kind = request.rule.kind,
+                                      .idempotent = request.rule.idempotent,
+                                      .resources = request.rule.resources,
+                                      .deadline = request.deadline},
+                                     content, now);
+  if (auto* started = std::get_if<Admitted>(&begun)) {
+    Open& open = open_[started->key];
+    open = {std::move(request), {std::move(done)}, admitted, now};
+    Perform(std::move(started->actions));
+    Arm();
+    return;
+  }
+  if (admitted) admission_.Finish(request.customer, now);
+  if (auto* duplicate = std::get_if<Duplicate>(&begun)) {
+    const auto open = open_.find(duplicate->key);
+    if (duplicate->answer) {
+      done(*duplicate->answer);
+    } else if (open != open_.end()) {
+      open->second.waiting.push_back(std::move(done));
+    } else {
+      done(Refusal(ErrorKind::kOutcomeUnknown, "being resolved"));
+    }
+  } else if (std::holds_alternative<Conflict>(begun)) {
+    done(Refusal(ErrorKind::kConflict,
+                 "this id was used with other kind or payload"));
+  } else if (auto* refused = std::get_if<RequestRefused>(&begun)) {
+    done(refused->answer);
+  } else {
+    done(Refusal(ErrorKind::kQueueFull, "this entry host is full"));
+  }
+}
+
+void RequestService::Perform(RequestActions actions) {
+  auto* workers = context_.kernel.Find<WorkerService>(kWorkerService);
+  for (RequestAction& action : actions) {
+    if (auto* place = std::get_if<Place>(&action)) {
+      PlaceRequest(*place);
+    } else if (auto* send = std::get_if<gypsumfall::Send>(&action)) {
+      Send(*send);
+    } else if (auto* answer = std::get_if<Answer>(&action)) {
+      AnswerCallers(*answer);
+    } else if (auto* cancel = std::get_if<CancelExchange>(&action)) {
+      workers->SendCancel(cancel->worker, cancel->exchange);
+    } else if (auto* ask = std::get_if<ResolveForward>(&action)) {
+      AskForwarded(*ask);
+    } else if (auto* release = std::get_if<ReleaseRoom>(&action)) {
+      // Room of a request that was sent is returned by the worker's answer.
+      if (placed_.erase(release->exchange) > 0) {
+        workers->fleet().AbandonRequest(release->worker, release->exchange);
+      }
+    }
+  }
+}
+
+void RequestService::PlaceRequest(const Place& place) {
+  const auto open = open_.find(place.key);
+  if (open == open_.end()) return;
+  const IncomingRequest& request = open->second.request;
+  const Time now = context_.Now();
+  auto* workers = context_.kernel.Find<WorkerService>(kWorkerService);
+  const ExchangeId exchange = exchanges_->Next();
+  const Work work{.customer = request.customer,
+                  .kind = request.rule.kind,
+                  .resources = place.resources,
+                  .idempotent = request.rule.idempotent};
+  const auto placed = workers->fleet().PlaceRequest(
+      exchange, work, {.workers = place.exclude}, now);
+  if (placed) {
+    placed_[exchange] = *placed;
+    Perform(table_->OnPlaced(place.key, placed->worker, exchange, now));
+  } else if (place.may_forward && !request.from_peer) {
+    Forward(place, request);
+  } else {
+    table_->OnNotPlaced(place.key, now);
+  }
+}
+
+void RequestService::Send(const gypsumfall::Send& send) {
+  const auto open = open_.find(send.key);
+  const auto placed = placed_.find(send.exchange);
+  if (open == open_.end() || placed == placed_.end()) return;
+  const IncomingRequest& request = open->second.request;
+  const Placement placement = std::move(placed->second);
+  placed_.erase(placed);
+  context_.kernel.Find<WorkerService>(kWorkerService)
+      ->SendRequest(placement,
+                    {placement.header, send.exchange, request.rule.kind,
+                     request.rule.resources, request.payload},
+                    request.deadline - context_.Now() + kLateAnswer);
+}
+
+void RequestService::Forward(const Place& place,
+                             const IncomingRequest& request) {
+  const Time now = context_.Now();
+  auto* members = context_.kernel.Find<MembershipService>(kMembershipService);
+  for (const EntryHostId& peer : members->membership().ForwardTargets()) {
+    const HostView* view = members->membership().Host(peer);
+    if (view == nullptr || view->summary.spare_slots <= 0) continue;
+    const ExchangeId exchange = exchanges_->Next();
+    if (!table_->OnForwarded(place.key, peer, exchange, now)) return;
+    forwarded_.Add();
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        std::max(request.deadline - now, Duration(0)));
+    CallPeer(peer,
+             {context_.self(), exchange, request.customer, request.id,
+              request.rule.kind, request.payload, left.count()},
+             left + kLateAnswer);
+    return;
+  }
+  table_->OnNotPlaced(place.key, now);
+}
+
+void RequestService::AskForwarded(const ResolveForward& ask) {
+  CallPeer(ask.peer,
+           {.from = context_.self(),
+            .exchange = ask.exchange,
+            .customer = ask.customer,
+            .id = ask.id,
+            .resolve_only = true},
+           kResolveTimeout);
+}
+
+void RequestService::CallPeer(const EntryHostId& peer,
+                              const ForwardedRequest& call, Duration timeout) {
+  auto* members = context_.kernel.Find<MembershipService>(kMembershipService);
+  HttpCall http{.path = "/peer/v1/request",
+                .bearer = context_.settings.keys.peer_key.Reveal(),
+                .body = Encode(call)};
+  context_.clients.Call(
+      members->AddressOf(peer), std::move(http), timeout,
+      [this, peer, members, exchange = call.exchange,
+       resolve_only = call.resolve_only](CallOutcome outcome) {
+        members->OnCallOutcome(peer, outcome);
+        ForwardOutcome result;
+        const bool answered = !outcome.failure && outcome.status == 200;
+        auto answer = answered ? Decode<ForwardedAnswer>(outcome.body)
+                               : Result<ForwardedAnswer>(
+                                     Fail(ErrorKind::kInternal, "no answer"));
+        if (outcome.certainly_not_sent) {
+          result.kind = ForwardOutcome::Kind::kNotSent;
+        } else if (answer) {
+          result.kind = ForwardOutcome::Kind::kAnswered;
+          result.answer = {.was_run = WasRunFromName(answer->was_run),
+                           .detail = std::move(answer->detail),
+                           .result = std::move(answer->result)};
+          if (!answer->error.empty()) {
+            result.answer.error = ErrorKindFromName(answer->error);
+          }
+        }
+        // A look-up that failed says nothing about the forwarded request.
+        if (resolve_only && !answer) return;
+        Perform(table_->OnForwardOutcome(exchange, result, context_.Now()));
+        Arm();
+      });
+}
+
+void RequestService::RunForwarded(const ForwardedRequest& request, Done done) {
+  if (request.resolve_only) {
+    const auto view = table_->Lookup(request.customer, request.id);
+    const bool known = view && view->answer;
+    done(known ? *view->answer
+               : Refusal(ErrorKind::kOutcomeUnknown, "no outcome is known"));
+    return;
+  }
+  auto* contracts = context_.kernel.Find<ContractService>(kContractService);
+  const ContractPtr contract = contracts->book().Find(request.customer);
+  const KindRule* rule =
+      contract == nullptr ? nullptr : contract->FindKind(request.kind);
+  if (rule == nullptr || !rule->idempotent) {
+    done(Refusal(ErrorKind::kUnknownKind, "this host has no such kind"));
+    return;
+  }
+  Run({.customer = request.customer,
+       .id = request.id,
+       .rule = *rule,
+       .payload = request.payload,
+       .deadline = context_.Now() + milliseconds(request.time_left_ms),
+       .from_peer = true},
+      std::move(done));
+}
+
+void RequestService::AnswerCallers(const Answer& answer) {
+  const auto found = open_.find(answer.key);
+  if (found == open_.end()) return;
+  const Open open = std::move(found->second);
+  open_.erase(found);
+  const Time now = context_.Now();
+  if (open.admitted) admission_.Finish(open.request.customer, now);
+  latency_.Record(now - open.arrived);
+  answers_by_was_run_[static_cast<std::size_t>(answer.answer.was_run)]->Add();
+  if (answer.answer.error) {
+    context_.Explain(
+        "request/" + open.request.customer.str() + "/" + open.request.id.str(),
+        std::string(AnswerFor(*answer.answer.error).name),
+        answer.answer.detail);
+  }
+  for (const Done& done : open.waiting) done(answer.answer);
+}
+
+std::optional<RequestView> RequestService::Lookup(const CustomerId& customer,
+                                                  const RequestId& id) const {
+  return table_->Lookup(customer, id);
+}
+
+void RequestService::Arm() {
+  if (const auto next = table_->NextTick()) timer_.NotAfter(*next);
+}
+
+void RequestService::Stop(std::function<void()> stopped) {
+  stopped_ = std::move(stopped);
+  Perform(table_->RefuseWaiting(context_.Now()));
+  FinishStopIfDone();
+}
+
+void RequestService::FinishStopIfDone() {
+  if (stopped_ && table_->unanswered() == 0) {
+    // Requests that still arrive are refused, so the flag stays set.
+    const auto done = std::exchange(stopped_, [] {});
+    done();
+  }
+}
+
+std::string RequestService::Dump() const {
+  return table_->Dump(context_.Now()) + admission_.Dump(context_.Now());
+}
+
+}  // namespace gypsumfall
--- /dev/null
+++ b/gypsumfall/entry/task_partition.cc
@@ -0,0 +1,321 @@
+#include "gypsumfall/entry/internal/task_partition.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gypsumfall/entry/internal/ownership_service.h"
+#include "gypsumfall/entry/internal/store_service.h"
+
+namespace gypsumfall {
+namespace {
+
+constexpr Duration kStoreTimeout = seconds(2);
+// A hand-over does not wait longer for the last commit; the next owner then
+// finds its outcome in the journal.
+constexpr Duration kLongestQuiesce = seconds(3);
+
+std::string SubjectOf(const TaskKey& key) {
+  return "task/" + key.customer.str() + "/" + key.task.str();
+}
+
+}  // namespace
+
+TaskPartition::TaskPartition(const EntryContext& context, Options options,
+                             WriteBudget& budget)
+    : context_(context),
+      options_(options),
+      budget_(budget),
+      log_("tasks"),
+      timer_(context.runtime, [this] { Pump(); }) {}
+
+TaskPartition::~TaskPartition() = default;
+
+void TaskPartition::Submit(const TaskKey& key, const TaskSpec& spec,
+                           std::string payload, const TaskLimits& limits,
+                           StatusDone done) {
+  if (quiesced_) {
+    done(Fail(ErrorKind::kOwnerUnavailable, "ownership is being handed over"));
+    return;
+  }
+  const Time now = context_.Now();
+  TaskDecision decision =
+      table_->Submit(key, spec, std::move(payload), limits, now);
+  const bool must_wait =
+      decision.status && decision.status->state == TaskState::kAccepting;
+  if (must_wait) {
+    waiters_.emplace(key, Waiter{std::move(done), WaitFor::kDurable, {}});
+  } else {
+    done(decision.status);
+  }
+  Perform(std::move(decision.actions));
+}
+
+void TaskPartition::Cancel(const TaskKey& key, StatusDone done) {
+  TaskDecision decision = table_->Cancel(key, context_.Now());
+  const bool must_wait = decision.status && !decision.status->error &&
+                         !IsMet(WaitFor::kCancelRequested, *decision.status);
+  if (must_wait) {
+    waiters_.emplace(key,
+                     Waiter{std::move(done), WaitFor::kCancelRequested, {}});
+  } else {
+    done(decision.status);
+  }
+  Perform(std::move(decision.actions));
+}
+
+void TaskPartition::Wait(const TaskKey& key, Time until, bool is_poll,
+                         StatusDone done) {
+  const Result<TaskStatus> status = table_->Status(key);
+  if (!status || status->ended() || until <= context_.Now()) {
+    done(status);
+    return;
+  }
+  waiters_.emplace(key,
+                   Waiter{std::move(done), WaitFor::kEnded, until, is_poll});
+}
+
+Result<TaskStatus> TaskPartition::Status(const TaskKey& key) const {
+  return table_->Status(key);
+}
+
+std::vector<TaskStatus> TaskPartition::List(const CustomerId& customer) const {
+  constexpr std::size_t kMaxListed = 1000;
+  return table_->List(customer, kMaxListed);
+}
+
+Result<void> TaskPartition::Evict(const TaskKey& key) {
+  const Result<TaskStatus> status = table_->Status(key);
+  if (!status) return tl::unexpected(status.error());
+  context_.Explain(SubjectOf(key), "evict", "asked by an operator");
+  Perform(
+      table_->Evict({key.customer, key.task, status->attempt}, context_.Now()));
+  return {};
+}
+
+void TaskPartition::SetLimits(const CustomerId& customer,
+                              const TaskLimits& limits) {
+  table_->SetLimits(customer, limits);
+}
+
+void TaskPartition::OnReports(const WorkerReports& reports) {
+  if (quiesced_) return;
+  const Time now = context_.Now();
+  Perform(
+      table_->OnIncarnationChanged(reports.worker, reports.incarnation, now));
+  // Not complete: a start whose answer is under way may not be listed yet.
+  Perform(table_->OnReports(
+      {reports.worker, reports.incarnation, reports.clock}, reports.attempts,
+      /*complete=*/false, now));
+}
+
+void TaskPartition::OnAuthorityConfirmed(Time confirmed_at) {
+  confirmed_at_ = confirmed_at;
+  if (table_) table_->OnAuthorityConfirmed(confirmed_at);
+}
+
+void TaskPartition::Tick() {
+  const Time now = context_.Now();
+  if (quiesced_) {
+    Pump();
+    FinishQuiesce(now);
+    return;
+  }
+  Perform(table_->Tick(now));
+  ExpireWaiters(now);
+  if (journal_->SnapshotDue()) {
+    Perform(journal_->BeginSnapshot(table_->Snapshot(), now));
+  }
+}
+
+void TaskPartition::Quiesce(std::function<void()> done) {
+  if (!running()) {
+    done();
+    return;
+  }
+  quiesced_ = std::move(done);
+  quiesce_until_ = context_.Now() + kLongestQuiesce;
+}
+
+void TaskPartition::FinishQuiesce(Time now) {
+  const bool is_idle = journal_->queued() == 0 &&
+                       !journal_->Stalled(now + milliseconds(1), Duration(0));
+  if (!is_idle && now < quiesce_until_) return;
+  // Stays set, so that nothing more is accepted.
+  const auto done = std::exchange(quiesced_, [] {});
+  quiesce_until_ = Time::max();
+  done();
+}
+
+void TaskPartition::Abandon() {
+  alive_.reset();
+  if (journal_) Perform(journal_->OnOwnershipLost(context_.Now()));
+  auto waiters = std::exchange(waiters_, {});
+  for (auto& [key, waiter] : waiters) {
+    waiter.done(Fail(ErrorKind::kOutcomeUnknown,
+                     "another entry host has taken over; ask again by id"));
+  }
+}
+
+void TaskPartition::Perform(TaskActions actions) {
+  Outbox outbox;
+  for (const TaskAction& action : actions) {
+    if (const auto* record = std::get_if<AppendRecord>(&action)) {
+      Append(*record);
+    } else if (const auto* notify = std::get_if<gypsumfall::Notify>(&action)) {
+      Notify(notify->status);
+    } else if (!quiesced_) {
+      AddToOutbox(action, outbox);
+    }
+  }
+  SendOutbox(std::move(outbox));
+  Pump();
+}
+
+void TaskPartition::Append(const AppendRecord& record) {
+  const Time now = context_.Now();
+  const Result<void> appended =
+      journal_->Append(record.text, record.ticket, now);
+  if (!appended) {
+    Perform(table_->OnRefused(record.ticket, now, appended.error().kind));
+  }
+}
+
+void TaskPartition::Pump() {
+  if (!journal_ || !alive_) return;
+  Perform(journal_->Poll(context_.Now()));
+  const Time due = journal_->next_due();
+  if (due != Time::max()) timer_.NotAfter(due);
+}
+
+void TaskPartition::Perform(JournalActions actions) {
+  auto* store = context_.kernel.Find<StoreService>(kStoreService);
+  const Time now = context_.Now();
+  for (const JournalAction& action : actions) {
+    if (const auto* send = std::get_if<gypsumfall::SendTransact>(&action)) {
+      SendTransact(*send);
+    } else if (const auto* read = std::get_if<SendRead>(&action)) {
+      store->table().Read(
+          read->read, kStoreTimeout,
+          [this, weak = std::weak_ptr(alive_),
+           call = read->call](StoreOutcome<RowsReply> answer) {
+            if (weak.expired()) return;
+            const Time at = context_.Now();
+            Perform(answer.reply
+                        ? journal_->OnReadBack(call, answer.reply->rows, at)
+                        : journal_->OnReadFailed(call, at));
+            Pump();
+          });
+    } else if (const auto* put = std::get_if<PutSnapshotObject>(&action)) {
+      PutObject(*put);
+    } else if (const auto* old = std::get_if<DeleteSnapshotObject>(&action)) {
+      store->objects().Delete(old->name, kStoreTimeout,
+                              [](const StoreOutcome<bool>&) {});
+    } else if (const auto* committed = std::get_if<Committed>(&action)) {
+      for (const JournalTicket ticket : committed->tickets) {
+        Perform(table_->OnDurable(ticket, now));
+      }
+    } else if (const auto* lost = std::get_if<Lost>(&action)) {
+      for (const JournalTicket ticket : lost->tickets) {
+        Perform(table_->OnLost(ticket, now));
+      }
+      context_.kernel.Find<OwnershipService>(kOwnershipService)
+          ->SuspectPartition(options_.number);
+    } else if (const auto* refused = std::get_if<JournalRefused>(&action)) {
+      for (const JournalTicket ticket : refused->tickets) {
+        Perform(table_->OnRefused(ticket, now, refused->reason));
+      }
+    }
+  }
+}
+
+void TaskPartition::SendTransact(const gypsumfall::SendTransact& send) {
+  auto* store = context_.kernel.Find<StoreService>(kStoreService);
+  store->table().Transact(
+      send.transact, kStoreTimeout,
+      [this, weak = std::weak_ptr(alive_),
+       call = send.call](StoreOutcome<TransactReply> answer) {
+        if (weak.expired()) return;
+        const Time now = context_.Now();
+        if (answer.reply) {
+          Perform(journal_->OnTransactReply(call, *answer.reply, now));
+        } else if (answer.certainly_not_applied) {
+          Perform(journal_->OnTransactNotApplied(call, now));
+        } else {
+          Perform(journal_->OnTransactUnknown(call, now));
+        }
+        Pump();
+      });
+}
+
+void TaskPartition::PutObject(const PutSnapshotObject& put) {
+  auto* store = context_.kernel.Find<StoreService>(kStoreService);
+  store->objects().Put(put.name, put.text, kStoreTimeout,
+                       [this, weak = std::weak_ptr(alive_),
+                        call = put.call](const StoreOutcome<bool>& answer) {
+                         if (weak.expired()) return;
+                         Perform(journal_->OnObjectPut(
+                             call, answer.reply.has_value(), context_.Now()));
+                         Pump();
+                       });
+}
+
+bool TaskPartition::IsMet(WaitFor what, const TaskStatus& status) {
+  switch (what) {
+    case WaitFor::kDurable:
+      return status.state != TaskState::kAccepting;
+    case WaitFor::kCancelRequested:
+      return status.cancel_requested || status.ended();
+    case WaitFor::kEnded:
+      return status.ended();
+  }
+  return true;
+}
+
+void TaskPartition::Notify(const TaskStatus& status) {
+  context_.Explain(
+      SubjectOf(status.key), std::string(TaskStateName(status.state)),
+      status.error ? status.error->detail
+                   : "attempt " + std::to_string(status.attempt.value()));
+  std::vector<StatusDone> ready;
+  const auto [first, last] = waiters_.equal_range(status.key);
+  for (auto waiter = first; waiter != last;) {
+    // An error speaks of a submission or cancellation, not of those who wait
+    // for the end of the task.
+    const bool failed = status.error && waiter->second.what != WaitFor::kEnded;
+    if (failed || IsMet(waiter->second.what, status)) {
+      ready.push_back(std::move(waiter->second.done));
+      waiter = waiters_.erase(waiter);
+    } else {
+      ++waiter;
+    }
+  }
+  for (const StatusDone& done : ready) {
+    if (status.error) {
+      done(tl::unexpected(*status.error));
+    } else {
+      done(status);
+    }
+  }
+}
+
+void TaskPartition::EndPolls() {
+  for (auto& [key, waiter] : waiters_) {
+    if (waiter.is_poll) waiter.until = Time::min();
+  }
+  ExpireWaiters(context_.Now());
+}
+
+void TaskPartition::ExpireWaiters(Time now) {
+  std::vector<std::pair<TaskKey, StatusDone>> expired;
+  for (auto waiter = waiters_.begin(); waiter != waiters_.end();) {
+    if (waiter->second.until && *waiter->second.until <= now) {
+      expired.emplace_back(waiter->first, std::move(waiter->second.done));
+      waiter = waiters_.erase(waiter);
+    } else {
+      ++waiter;
+    }
+  }
+  for (const auto& [key, done] : expired) done(table_->Status(key));
+}
+
+}  // namespace gypsumfall
--- a/gypsumfall/membership/membership.h
+++ b/gypsumfall/membership/membership.h
@@ -68,32 +68,6 @@
   Duration worker_gone_after = seconds(4);
 };
 
-struct PeerInfo {
-  EntryHostId id;
-  DataCentreId data_centre;
-  std::string address;
-};
-
-/// What a heartbeat says about its sender or about a host that the sender has
-/// heard from directly.
-struct HostSummary {
-  PeerInfo peer;
-  Incarnation incarnation;
-  /// Counts heartbeats of the incarnation.
-  std::uint64_t beat = 0;
-  bool leaving = false;
-  int spare_slots = 0;
-  ContractRevision contract_revision;
-  std::vector<RackId> owned_racks;
-};
-
-/// A heartbeat, or the answer to one, which carries the same.
-struct PeerHeartbeat {
-  HostSummary sender;
-  /// Hosts of the sender's data centre that the sender hears directly.
-  std::vector<HostSummary> relayed;
-};
-
 struct HostView {
   HostSummary summary;
   HostState state = HostState::kSuspect;
--- a/gypsumfall/protocol/internal/peer_messages.h
+++ b/gypsumfall/protocol/internal/peer_messages.h
@@ -1,6 +1,7 @@
 #ifndef GYPSUMFALL_PROTOCOL_INTERNAL_PEER_MESSAGES_H_
 #define GYPSUMFALL_PROTOCOL_INTERNAL_PEER_MESSAGES_H_
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -11,6 +12,87 @@
 
 namespace gypsumfall {
 
+struct PeerInfo {
+  EntryHostId id;
+  DataCentreId data_centre;
+  std::string address;
+};
+
+/// What a heartbeat says about its sender or about a host that the sender has
+/// heard from directly.
+struct HostSummary {
+  PeerInfo peer;
+  Incarnation incarnation;
+  /// Counts heartbeats of the incarnation.
+  std::uint64_t beat = 0;
+  bool leaving = false;
+  int spare_slots = 0;
+  ContractRevision contract_revision;
+  std::vector<RackId> owned_racks;
+};
+
+/// A heartbeat, or the answer to one, which carries the same.
+struct PeerHeartbeat {
+  HostSummary sender;
+  /// Hosts of the sender's data centre that the sender hears directly.
+  std::vector<HostSummary> relayed;
+};
+
+/// Names one grant of one lender process.
+struct LoanId {
+  Incarnation lender;
+  std::uint64_t number = 0;
+
+  friend auto operator<=>(const LoanId&, const LoanId&) = default;
+};
+
+/// Units one host wants to borrow for one customer.
+struct LoanWant {
+  CustomerId customer;
+  ContractVersion version;
+  std::int64_t burst = 0;
+  std::int64_t concurrent = 0;
+};
+
+/// Part of a heartbeat: what this host would borrow from each peer. Customers
+/// that need nothing are left out.
+struct LoanReport {
+  std::vector<LoanWant> wants;
+};
+
+/// Units lent to one peer; replaces no earlier grant: of unexpired grants of
+/// one lender the largest counts.
+struct LoanGrant {
+  LoanId id;
+  CustomerId customer;
+  ContractVersion version;
+  std::int64_t burst = 0;
+  std::int64_t concurrent = 0;
+};
+
+/// Part of the answer to a heartbeat.
+struct LoanGrants {
+  std::vector<LoanGrant> grants;
+};
+
+/// A task partition that the sender of a heartbeat owns.
+struct OwnedPartition {
+  std::int64_t number = 0;
+  Epoch epoch;
+};
+
+/// What entry hosts tell each other once a second; a reply carries the same.
+struct HeartbeatMessage {
+  PeerHeartbeat heartbeat;
+  /// In a call: what the sender would borrow. In a reply: empty.
+  LoanReport wants;
+  /// In a reply: what is lent to the caller.
+  LoanGrants grants;
+  /// Racks that the sender asks the receiver to release.
+  std::vector<RackId> release;
+  std::vector<OwnedPartition> partitions;
+};
+
 /// A caller's call that another entry host can answer. The sender has
 /// authenticated the customer.
 struct ForwardedCall {
@@ -37,8 +119,8 @@
   RequestId id;
   KindId kind;
   std::string payload;
-  /// Time left until the caller's deadline.
-  Duration time_left{0};
+  /// Milliseconds left until the caller's deadline.
+  std::int64_t time_left_ms = 0;
   /// Only asks for the outcome of an earlier call.
   bool resolve_only = false;
 };
