Add the subcommands of the binary

Operators and callers need one front to check and put contracts, to hand over and follow work, and to see why something was decided. The commands reach the network, files and the terminal only through an interface that tests replace.

--- /dev/null
+++ b/gypsumfall/cli/cli.cc
@@ -0,0 +1,122 @@
+#include "gypsumfall/cli/cli.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gypsumfall/cli/internal/command.h"
+
+namespace gypsumfall {
+namespace {
+
+constexpr int kNameWidth = 18;
+
+std::vector<Command> AllCommands() {
+  std::vector<Command> all;
+  for (auto* group :
+       {SettingsCommands, ContractCommands, WorkCommands, InspectCommands}) {
+    std::vector<Command> commands = group();
+    std::move(commands.begin(), commands.end(), std::back_inserter(all));
+  }
+  return all;
+}
+
+bool IsHelp(const std::string& argument) {
+  return argument == "--help" || argument == "-h" || argument == "help";
+}
+
+void PrintCommands(const std::vector<Command>& commands, std::ostream& out) {
+  out << "Usage: gypsumfall COMMAND ...\n\nCommands:\n" << std::left;
+  for (const Command& command : commands) {
+    out << "  " << std::setw(kNameWidth) << command.name << command.summary
+        << "\n";
+  }
+  out << "\nWrite \"gypsumfall COMMAND --help\" for the options of a command.\n"
+         "Exit codes: 0 ok, 1 refused, 2 bad input, 3 not reachable.\n";
+}
+
+// @return the subcommand that the first one or two arguments name, and the
+//     number of these arguments.
+std::pair<const Command*, std::size_t> FindCommand(
+    const std::vector<Command>& commands,
+    const std::vector<std::string>& arguments) {
+  for (std::size_t words = std::min<std::size_t>(2, arguments.size());
+       words > 0; --words) {
+    const std::string name =
+        words == 2 ? arguments[0] + " " + arguments[1] : arguments[0];
+    const auto found =
+        std::find_if(commands.begin(), commands.end(),
+                     [&](const Command& c) { return c.name == name; });
+    if (found != commands.end()) return {&*found, words};
+  }
+  return {nullptr, 0};
+}
+
+ExitCode UnknownCommand(const std::vector<Command>& commands,
+                        const std::vector<std::string>& arguments,
+                        std::ostream& err) {
+  std::string given = arguments[0];
+  if (arguments.size() > 1) given += " " + arguments[1];
+  std::vector<std::string> names;
+  std::vector<std::string> in_group;
+  for (const Command& command : commands) {
+    names.push_back(command.name);
+    if (command.name.starts_with(arguments[0] + " ")) {
+      in_group.push_back(command.name);
+    }
+  }
+  std::string nearest = NearestName(given, names);
+  if (nearest.empty()) nearest = NearestName(arguments[0], names);
+  err << "unknown command " << Quote(given);
+  if (!nearest.empty()) err << "; did you mean \"" << nearest << "\"?";
+  err << (nearest.empty() ? "; allowed: " : " Allowed: ")
+      << JoinNames(in_group.empty() ? names : in_group) << "\n";
+  return ExitCode::kBadInput;
+}
+
+}  // namespace
+
+std::optional<ExitCode> ReadArguments(const std::string& name,
+                                      const std::string& summary,
+                                      const OptionList& list,
+                                      const std::vector<std::string>& args,
+                                      const CliEnvironment& environment) {
+  const bool help = std::find(args.begin(), args.end(), "--help") != args.end();
+  if (help) {
+    environment.out << OptionsHelp(name, summary, list);
+    return ExitCode::kOk;
+  }
+  const std::vector<std::string> messages = ParseOptions(list, args);
+  if (messages.empty()) return std::nullopt;
+  for (const std::string& message : messages)
+    environment.err << message << "\n";
+  environment.err << "Write \"gypsumfall " << name
+                  << " --help\" to see how the command is written.\n";
+  return ExitCode::kBadInput;
+}
+
+ExitCode RunCli(const std::vector<std::string>& arguments,
+                const CliEnvironment& environment) {
+  const std::vector<Command> commands = AllCommands();
+  if (arguments.empty()) {
+    PrintCommands(commands, environment.err);
+    return ExitCode::kBadInput;
+  }
+  if (IsHelp(arguments[0])) {
+    PrintCommands(commands, environment.out);
+    return ExitCode::kOk;
+  }
+  const auto [command, words] = FindCommand(commands, arguments);
+  if (command == nullptr) {
+    return UnknownCommand(commands, arguments, environment.err);
+  }
+  const std::vector<std::string> rest(
+      arguments.begin() + static_cast<std::ptrdiff_t>(words), arguments.end());
+  return command->run(rest, environment);
+}
+
+}  // namespace gypsumfall
--- /dev/null
+++ b/gypsumfall/cli/settings_commands.cc
@@ -0,0 +1,64 @@
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gypsumfall/cli/internal/command.h"
+#include "gypsumfall/cli/internal/session.h"
+
+namespace gypsumfall {
+namespace {
+
+struct SettingsArguments {
+  std::string file;
+  std::vector<std::string> overrides;
+
+  OptionList Describe() {
+    OptionList list;
+    list.Add(OptionForm::kPositional, "file", "FILE", "the settings file",
+             file);
+    list.AddRepeated("set", "SECTION.KEY=VALUE",
+                     "replaces a value of the file; may be repeated",
+                     overrides);
+    return list;
+  }
+};
+
+OrExit<EntrySettings> ReadSettings(const SettingsArguments& arguments,
+                                   const CliEnvironment& environment) {
+  const auto text = ReadInput(arguments.file, environment);
+  if (!text) return tl::unexpected(text.error());
+  auto settings =
+      ParseEntrySettings(*text, arguments.file, arguments.overrides);
+  if (settings) return *std::move(settings);
+  environment.err << FaultsToString(settings.error());
+  return tl::unexpected(ExitCode::kBadInput);
+}
+
+ExitCode Check(const SettingsArguments& arguments,
+               const CliEnvironment& environment) {
+  const auto settings = ReadSettings(arguments, environment);
+  if (!settings) return settings.error();
+  environment.out << arguments.file << " is valid: entry host "
+                  << settings->host.id << " in data centre "
+                  << settings->host.data_centre << ", listening on "
+                  << settings->host.listen.ToString() << ", with "
+                  << settings->peers.size() << " peers.\n";
+  return ExitCode::kOk;
+}
+
+ExitCode Serve(const SettingsArguments& arguments,
+               const CliEnvironment& environment) {
+  const auto settings = ReadSettings(arguments, environment);
+  if (!settings) return settings.error();
+  return environment.serve(*settings);
+}
+
+}  // namespace
+
+std::vector<Command> SettingsCommands() {
+  return {MakeCommand("serve", "runs an entry host until it is stopped", Serve),
+          MakeCommand("settings check",
+                      "checks a settings file and shows all faults", Check)};
+}
+
+}  // namespace gypsumfall
