--- /dev/null
+++ b/testing/interleaving_faults.cc
@@ -0,0 +1,201 @@
+// Random steps of callers, owners and workers, and the end of a run.
+
+#include <algorithm>
+#include <iterator>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "testing/interleaving.h"
+
+namespace gypsumfall::testing {
+namespace {
+
+constexpr int kPartition = 0;
+constexpr int kWorkers = 3;
+constexpr Duration kRowLease = seconds(7);
+// Rates of clocks differ by at most this, in both directions. It is more than
+// real clocks differ, and as much as the 2 s margin allows for these leases.
+constexpr double kClockDrift = 0.01;
+
+double RateFrom(std::uint64_t draw) {
+  constexpr std::uint64_t kSteps = 1000;
+  const double unit = static_cast<double>(draw % (kSteps + 1)) / kSteps;
+  return 1 - kClockDrift + 2 * kClockDrift * unit;
+}
+
+}  // namespace
+
+RunReport RunInterleaving(std::uint64_t seed, const Safeguards& safeguards,
+                          std::uint64_t steps) {
+  return Interleaving(seed, safeguards).Run(steps);
+}
+
+Interleaving::Interleaving(std::uint64_t seed, const Safeguards& safeguards)
+    : random_(seed), safeguards_(safeguards) {
+  for (int i = 0; i < kWorkers; ++i) {
+    const WorkerId id("w" + std::to_string(i));
+    workers_.emplace(id, FakeWorker(id, RateFrom(random_()), history_));
+  }
+  for (auto& [id, worker] : workers_) worker.AdvanceTo(now_);
+  TakeOver();
+}
+
+RunReport Interleaving::Run(std::uint64_t steps) {
+  for (std::uint64_t step = 0; step < steps; ++step) {
+    RunUntil(now_ + milliseconds(Draw(1500)));
+    RandomStep();
+  }
+  report_.steps = steps;
+  Heal();
+  ComeToRest();
+  return Judge();
+}
+
+void Interleaving::RandomStep() {
+  Owner& current = *owners_.back();
+  if (now_ - current.renewed_at > kRowLease * 1.05) TakeOver();
+  for (auto& [id, worker] : workers_) {
+    if (Chance(20)) worker.Work(random_());
+    if (Fault(1)) worker.Restart();
+    if (Fault(1)) worker_paused_until_[id] = now_ + seconds(Draw(40));
+  }
+  if (Chance(30)) SubmitOne();
+  DisturbTask();
+  DisturbOwner(*owners_[Draw(owners_.size())]);
+  DisturbOwner(current);
+}
+
+void Interleaving::SubmitOne() {
+  const bool again = !rules_.empty() && Chance(15);
+  TaskKey key{CustomerId("c"), TaskId("t" + std::to_string(rules_.size()))};
+  if (again) {
+    key = rules_[Draw(rules_.size())].task;
+    resubmitted_.insert(key);
+  } else {
+    TaskSpec& spec = specs_[key];
+    spec.kind = KindId("k");
+    spec.idempotent = Chance(50);
+    spec.resumable = Chance(20);
+    spec.urgency = static_cast<int>(Draw(2));
+    spec.run_without_contact = seconds(20);
+    rules_.push_back({key, spec.idempotent || spec.resumable});
+  }
+  // The caller may still know an earlier owner.
+  Owner& owner = Chance(85) ? *owners_.back() : *owners_[Draw(owners_.size())];
+  ToOwner(owner, Delay(), [this, &owner, key, again] {
+    const TaskDecision decision =
+        owner.table->Submit(key, specs_[key], "payload", {}, LocalTime(owner));
+    if (!decision.status && !again) {
+      history_.push_back({Event::Type::kToldNotRun, key});
+    }
+    Do(owner, decision.actions);
+  });
+}
+
+void Interleaving::DisturbTask() {
+  if (rules_.empty() || !Chance(12)) return;
+  const TaskKey key = rules_[Draw(rules_.size())].task;
+  Owner& owner = *owners_.back();
+  const bool evict = Chance(60);
+  ToOwner(owner, Delay(), [this, &owner, key, evict] {
+    const Time now = LocalTime(owner);
+    if (!evict) {
+      Do(owner, owner.table->Cancel(key, now).actions);
+    } else if (const auto status = owner.table->Status(key)) {
+      Do(owner,
+         owner.table->Evict({key.customer, key.task, status->attempt}, now));
+    }
+  });
+}
+
+void Interleaving::DisturbOwner(Owner& owner) {
+  const auto until = [this] { return now_ + seconds(Draw(60)); };
+  if (Fault(2)) owner.paused_until = until();
+  if (Fault(2)) owner.store_cut_until = until();
+  if (Fault(2)) owner.workers_cut_until = until();
+  if (Fault(1)) store_down_until_ = until();
+  if (&owner == owners_.back().get() && Chance(50) && Fault(1)) {
+    owner.crashed = true;
+  }
+}
+
+void Interleaving::TakeOver() {
+  if (now_ < store_down_until_) return;
+  if (!owners_.empty()) owners_.back()->lapsed = true;
+  const Epoch epoch(owners_.size() + 1);
+  const std::string part = PartitionRowKey(kPartition);
+  const TransactReply taken =
+      store_.Transact({"", {}, {{part, std::to_string(epoch.value())}}, {}});
+  const auto pointer =
+      ReadSnapshotPointer(store_.Read({SnapshotRowKey(kPartition)}).front());
+  const auto recovered = RecoverJournal(kPartition, pointer.value(),
+                                        store_.Scan(LogRowPrefix(kPartition)));
+
+  auto owner = std::make_unique<Owner>();
+  owner->rate = RateFrom(random_());
+  owner->renewed_at = now_;
+  TaskTableOptions options{.epoch = epoch};
+  if (!safeguards_.wait_for_lease) options.lease_margin = -seconds(45);
+  owner->table = std::make_unique<TaskTable>(options);
+  const bool restored =
+      recovered && owner->table->Restore(store_.objects[pointer->object],
+                                         recovered->records, LocalTime(*owner));
+  if (!restored) {
+    history_.push_back({Event::Type::kRecoveryFailed});
+    history_.back().text = recovered ? "restore" : recovered.error().detail;
+  }
+  owner->table->OnAuthorityConfirmed(LocalTime(*owner));
+  owner->journal = std::make_unique<Journal>(
+      JournalOptions{.partition = kPartition,
+                     .token_prefix = std::to_string(epoch.value()),
+                     .part_version = taken.versions.front(),
+                     .snapshot_rows = 8,
+                     .seed = random_()},
+      recovered ? recovered->position : JournalPosition{}, owner->budget);
+  owners_.push_back(std::move(owner));
+  report_.takeovers = owners_.size() - 1;
+  Step(*owners_.back());
+}
+
+void Interleaving::Heal() {
+  healed_ = true;
+  store_down_until_ = now_;
+  for (auto& [id, until] : worker_paused_until_) until = now_;
+  for (const auto& owner : owners_) {
+    owner->paused_until = std::min(owner->paused_until, now_);
+    owner->store_cut_until = now_;
+    owner->workers_cut_until = now_;
+  }
+  RunUntil(now_ + seconds(1));
+  if (owners_.back()->crashed || owners_.back()->lapsed) TakeOver();
+}
+
+void Interleaving::ComeToRest() {
+  const auto at_rest = [this] {
+    const auto tasks = owners_.back()->table->List(CustomerId("c"), 10000);
+    return std::all_of(tasks.begin(), tasks.end(),
+                       [](const TaskStatus& task) { return task.ended(); });
+  };
+  constexpr int kMaxRounds = 2000;
+  for (int round = 0; round < kMaxRounds; ++round) {
+    RunUntil(now_ + seconds(1));
+    if (owners_.back()->crashed) TakeOver();
+    for (auto& [id, worker] : workers_) worker.Work(random_());
+    if (at_rest()) return;
+  }
+}
+
+RunReport Interleaving::Judge() {
+  for (const TaskStatus& task :
+       owners_.back()->table->List(CustomerId("c"), 10000)) {
+    history_.push_back({Event::Type::kFinal, task.key});
+    history_.back().state = task.state;
+    Tell(task);
+  }
+  report_.tasks = rules_.size();
+  report_.violations = CheckInvariants(rules_, history_);
+  return report_;
+}
+
+}  // namespace gypsumfall::testing
