--- a/gypsumfall/kernel/kernel_test.cc
+++ b/gypsumfall/kernel/kernel_test.cc
@@ -48,8 +48,10 @@
 
 void Register(Kernel& kernel, Log& log, const std::string& name,
               std::vector<std::string> needs, bool fails = false) {
-  REQUIRE(kernel.Register(
-      name, std::make_unique<FakeService>(log, name, std::move(needs), fails)));
+  auto service =
+      std::make_unique<FakeService>(log, name, std::move(needs), fails);
+  const Result<void> registered = kernel.Register(name, std::move(service));
+  REQUIRE(registered);
 }
 
 void FinishStops(Log& log) {
--- a/gypsumfall/requests/faults_test.cc
+++ b/gypsumfall/requests/faults_test.cc
@@ -26,9 +26,9 @@
   int releases;
 };
 
-const auto kUnresolved = ErrorKind::kOutcomeUnknown;
-const auto kNoTime = ErrorKind::kDeadlineUnreachable;
-const auto kBad = ErrorKind::kWorkerFailed;
+constexpr auto kUnresolved = ErrorKind::kOutcomeUnknown;
+constexpr auto kNoTime = ErrorKind::kDeadlineUnreachable;
+constexpr auto kBad = ErrorKind::kWorkerFailed;
 
 std::vector<Row> Faults() {
   using enum WasRun;
--- a/gypsumfall/requests/requests.h
+++ b/gypsumfall/requests/requests.h
@@ -211,7 +211,7 @@
 /// Creates exchange ids that are unique over hosts and restarts.
 class ExchangeIdSource {
  public:
-  ExchangeIdSource(EntryHostId host, Incarnation incarnation);
+  ExchangeIdSource(const EntryHostId& host, Incarnation incarnation);
   /// @return "<host>/<incarnation>/<counter>", never the same twice.
   ExchangeId Next();
 
--- a/gypsumfall/requests/table.cc
+++ b/gypsumfall/requests/table.cc
@@ -9,7 +9,8 @@
 
 namespace gypsumfall {
 
-ExchangeIdSource::ExchangeIdSource(EntryHostId host, Incarnation incarnation)
+ExchangeIdSource::ExchangeIdSource(const EntryHostId& host,
+                                   Incarnation incarnation)
     : prefix_(host.str() + "/" + std::to_string(incarnation.value()) + "/") {}
 
 ExchangeId ExchangeIdSource::Next() {
--- a/gypsumfall/telemetry/metrics.cc
+++ b/gypsumfall/telemetry/metrics.cc
@@ -1,4 +1,5 @@
 #include <array>
+#include <iomanip>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr std::string_view kPrefix = "gypsumfall_";
+// Gauges such as byte counts are exported without rounding.
+constexpr int kDigits = 15;
 constexpr std::array kQuantiles = {0.5, 0.9, 0.99, 0.999};
 
 std::string Escaped(const std::string& value) {
@@ -65,6 +68,7 @@
   std::string Export() const {
     const std::lock_guard lock(mutex_);
     std::ostringstream out;
+    out << std::setprecision(kDigits);
     ExportValues(out, counters_, "counter");
     ExportValues(out, gauges_, "gauge");
     for (const auto& [name, by_labels] : latencies_) {
--- a/gypsumfall/telemetry/telemetry.h
+++ b/gypsumfall/telemetry/telemetry.h
@@ -26,6 +26,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -62,11 +63,15 @@
 /// Sets up the process's log. A second call replaces the first.
 void SetUpLogging(const LogSettings& settings);
 
+/// Types with a stream operator.
+template <typename T>
+concept Streamable = requires(std::ostream& out, const T& value) {
+  out << value;
+};
+
 /// One key=value pair of a log line.
 struct Field {
-  /// @tparam T any type with a stream operator.
-  template <typename T>
-  requires requires(std::ostream& out, const T& value) { out << value; }
+  template <Streamable T>
   Field(std::string_view field_key, const T& field_value)
       : key(field_key), value(Text(field_value)) {}
 
--- a/gypsumfall/telemetry/telemetry_test.cc
+++ b/gypsumfall/telemetry/telemetry_test.cc
@@ -10,10 +10,6 @@
 namespace {
 
 // Guards against a secret that reaches a log, a dump or an error text.
-template <typename T>
-concept Streamable = requires(std::ostream& out, const T& value) {
-  out << value;
-};
 static_assert(!Streamable<Secret>);
 static_assert(!std::is_constructible_v<Field, std::string_view, Secret>);
 static_assert(!std::is_convertible_v<Secret, std::string>);
