--- a/gypsumfall/telemetry/log.cc
+++ b/gypsumfall/telemetry/log.cc
@@ -61,20 +61,6 @@
 
 }  // namespace
 
-std::string_view LogLevelName(LogLevel level) {
-  switch (level) {
-    case LogLevel::kDebug:
-      return "debug";
-    case LogLevel::kInfo:
-      return "info";
-    case LogLevel::kWarning:
-      return "warning";
-    case LogLevel::kError:
-      return "error";
-  }
-  return "error";
-}
-
 void SetUpLogging(const LogSettings& settings) {
   const auto core = boost::log::core::get();
   core->remove_all_sinks();
@@ -89,7 +75,7 @@
 }
 
 void Logger::Write(LogLevel level, std::string_view message,
-                   Fields fields) const {
+                   LogFields fields) const {
   boost::log::sources::severity_logger<LogLevel> source(
       boost::log::keywords::severity = level);
   boost::log::record record =
@@ -101,7 +87,7 @@
   AppendValue(line, component_, false);
   line += " msg=";
   AppendValue(line, message, true);
-  for (const Field& field : fields) {
+  for (const LogField& field : fields) {
     line += ' ';
     line += field.key;
     line += '=';
@@ -111,16 +97,16 @@
   source.push_record(std::move(record));
 }
 
-void Logger::Debug(std::string_view message, Fields fields) const {
+void Logger::Debug(std::string_view message, LogFields fields) const {
   Write(LogLevel::kDebug, message, fields);
 }
-void Logger::Info(std::string_view message, Fields fields) const {
+void Logger::Info(std::string_view message, LogFields fields) const {
   Write(LogLevel::kInfo, message, fields);
 }
-void Logger::Warning(std::string_view message, Fields fields) const {
+void Logger::Warning(std::string_view message, LogFields fields) const {
   Write(LogLevel::kWarning, message, fields);
 }
-void Logger::Error(std::string_view message, Fields fields) const {
+void Logger::Error(std::string_view message, LogFields fields) const {
   Write(LogLevel::kError, message, fields);
 }
 
--- a/gypsumfall/telemetry/telemetry.h
+++ b/gypsumfall/telemetry/telemetry.h
@@ -4,7 +4,7 @@
 /// @file
 /// Logging and metrics. A log line is "time=... level=... component=...
 /// msg=\"...\" key=value ...". Secrets can not be logged: `Secret` has no
-/// stream operator and `Field` does not accept it.
+/// stream operator and `LogField` does not accept it.
 ///
 /// Example:
 /// @code
@@ -34,26 +34,6 @@
 
 namespace gypsumfall {
 
-/// A key or password. It converts to text only by Reveal, and has no stream
-/// operator, so that it never reaches a log by accident.
-class Secret {
- public:
-  Secret() = default;
-  explicit Secret(std::string value) : value_(std::move(value)) {}
-
-  /// @return the plain text, for the one place that sends or compares it.
-  const std::string& Reveal() const { return value_; }
-  bool empty() const { return value_.empty(); }
-
- private:
-  std::string value_;
-};
-
-enum class LogLevel { kDebug, kInfo, kWarning, kError };
-
-/// @return "debug", "info", "warning" or "error".
-std::string_view LogLevelName(LogLevel level);
-
 struct LogSettings {
   LogLevel level = LogLevel::kInfo;
   /// Where lines go; standard error if null. Must outlive the process's logs.
@@ -70,9 +50,9 @@
 };
 
 /// One key=value pair of a log line.
-struct Field {
+struct LogField {
   template <Streamable T>
-  Field(std::string_view field_key, const T& field_value)
+  LogField(std::string_view field_key, const T& field_value)
       : key(field_key), value(Text(field_value)) {}
 
   std::string_view key;
@@ -82,7 +62,8 @@
   template <typename T>
   static std::string Text(const T& value) {
     if constexpr (std::is_convertible_v<const T&, std::string_view>) {
-      return std::string(std::string_view(value));
+      const std::string_view text = value;
+      return std::string(text);
     } else {
       std::ostringstream out;
       out << value;
@@ -91,20 +72,20 @@
   }
 };
 
-using Fields = std::initializer_list<Field>;
+using LogFields = std::initializer_list<LogField>;
 
 /// Writes log lines of one component. Thread-safe.
 class Logger {
  public:
   explicit Logger(std::string component) : component_(std::move(component)) {}
 
-  void Debug(std::string_view message, Fields fields = {}) const;
-  void Info(std::string_view message, Fields fields = {}) const;
-  void Warning(std::string_view message, Fields fields = {}) const;
-  void Error(std::string_view message, Fields fields = {}) const;
+  void Debug(std::string_view message, LogFields fields = {}) const;
+  void Info(std::string_view message, LogFields fields = {}) const;
+  void Warning(std::string_view message, LogFields fields = {}) const;
+  void Error(std::string_view message, LogFields fields = {}) const;
 
  private:
-  void Write(LogLevel level, std::string_view message, Fields fields) const;
+  void Write(LogLevel level, std::string_view message, LogFields fields) const;
 
   std::string component_;
 };
--- a/gypsumfall/telemetry/telemetry_test.cc
+++ b/gypsumfall/telemetry/telemetry_test.cc
@@ -11,7 +11,7 @@
 
 // Guards against a secret that reaches a log, a dump or an error text.
 static_assert(!Streamable<Secret>);
-static_assert(!std::is_constructible_v<Field, std::string_view, Secret>);
+static_assert(!std::is_constructible_v<LogField, std::string_view, Secret>);
 static_assert(!std::is_convertible_v<Secret, std::string>);
 static_assert(!std::is_convertible_v<Secret, std::string_view>);
 
