--- a/gypsumfall/telemetry/telemetry.h
+++ b/gypsumfall/telemetry/telemetry.h
@@ -26,6 +26,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -42,11 +43,15 @@
 /// Sets up the process's log. A second call replaces the first.
 void SetUpLogging(const LogSettings& settings);
 
+/// Types with a stream operator.
+template <typename T>
+concept Streamable = requires(std::ostream& out, const T& value) {
+  out << value;
+};
+
 /// One key=value pair of a log line.
 struct LogField {
-  /// @tparam T any type with a stream operator.
-  template <typename T>
-  requires requires(std::ostream& out, const T& value) { out << value; }
+  template <Streamable T>
   LogField(std::string_view field_key, const T& field_value)
       : key(field_key), value(Text(field_value)) {}
 
@@ -57,7 +62,8 @@
   template <typename T>
   static std::string Text(const T& value) {
     if constexpr (std::is_convertible_v<const T&, std::string_view>) {
-      return std::string(std::string_view(value));
+      const std::string_view text = value;
+      return std::string(text);
     } else {
       std::ostringstream out;
       out << value;
