Link the one binary with all subcommands and the entry host

Cause: the parts were built apart. Change: gypsumfall/main; codecs of the messages between entry hosts share the fields of the worker messages; names are aligned.

--- a/gypsumfall/cli/cli.h
+++ b/gypsumfall/cli/cli.h
@@ -48,7 +48,7 @@
 };
 
 /// One call to an entry host.
-struct HttpCall {
+struct CliCall {
   Endpoint server;
   std::string method;
   /// Path with query.
@@ -59,7 +59,7 @@
   Duration timeout{0};
 };
 
-struct HttpAnswer {
+struct CliAnswer {
   int status = 0;
   std::string body;
 };
@@ -67,7 +67,7 @@
 /// Sends a call and waits for its answer.
 /// @return the answer whatever its status; `kOutcomeUnknown` if the call was
 ///     sent and no answer came; another kind if it was not sent.
-using HttpCaller = std::function<Result<HttpAnswer>(const HttpCall&)>;
+using HttpCaller = std::function<Result<CliAnswer>(const CliCall&)>;
 
 /// What subcommands reach outside of the process.
 struct CliEnvironment {
--- a/gypsumfall/cli/cli_test.cc
+++ b/gypsumfall/cli/cli_test.cc
@@ -35,8 +35,8 @@
       {"GYPSUMFALL_CUSTOMER", "acme"},
       {"USER", "ann"},
   };
-  Result<HttpAnswer> answer = HttpAnswer{200, "{}"};
-  std::vector<HttpCall> calls;
+  Result<CliAnswer> answer = CliAnswer{200, "{}"};
+  std::vector<CliCall> calls;
   std::string out;
   std::string err;
 
@@ -47,7 +47,7 @@
     std::ostringstream err_stream;
     const CliEnvironment environment{
         .call =
-            [this](const HttpCall& call) {
+            [this](const CliCall& call) {
               calls.push_back(call);
               return answer;
             },
@@ -155,11 +155,11 @@
   };
   for (const CallCase& c : cases) {
     Fixture fixture;
-    fixture.answer = HttpAnswer{200, c.answer};
+    fixture.answer = CliAnswer{200, c.answer};
     INFO(c.method << " " << c.path);
     CHECK(fixture.Run(c.arguments) == ExitCode::kOk);
     REQUIRE(fixture.calls.size() == 1);
-    const HttpCall& call = fixture.calls[0];
+    const CliCall& call = fixture.calls[0];
     CHECK(call.method == c.method);
     CHECK(call.path == c.path);
     CHECK(call.body == c.body);
@@ -172,7 +172,7 @@
     CHECK(call.headers[0] == HttpHeader{"Authorization", "Bearer " + key});
     CHECK((call.headers.back() == HttpHeader{"X-Customer", "acme"}) == caller);
     // Guards against an answer of something else that passes as success.
-    fixture.answer = HttpAnswer{200, "<html>"};
+    fixture.answer = CliAnswer{200, "<html>"};
     if (c.path != "/v1/dump") {
       CHECK(fixture.Run(c.arguments) == ExitCode::kNotReachable);
     }
@@ -182,7 +182,7 @@
 // Guards against a change that looks in force where it is not.
 TEST_CASE("contract put shows host by host where it is in force") {
   Fixture fixture;
-  fixture.answer = HttpAnswer{
+  fixture.answer = CliAnswer{
       200,
       R"({"version":8,"in_force":[{"host":"e1","state":"in_force","version":8},
       {"host":"e2","state":"pending","version":7},
@@ -203,7 +203,7 @@
 // Guards against one operator overwriting the other's change unseen.
 TEST_CASE("a racing contract put shows both changes and the way out") {
   Fixture fixture;
-  fixture.answer = HttpAnswer{409, R"({"error":"conflict","current_version":9,
+  fixture.answer = CliAnswer{409, R"({"error":"conflict","current_version":9,
       "changes":[{"field":"ceiling.cpu","theirs":"9cores","yours":"8cores"}]})"};
   CHECK(fixture.Run({"contract", "put", "c.ini"}) == ExitCode::kRefused);
   CHECK_THAT(fixture.calls.at(0).body, Catch::Contains("\"base_version\":0"));
@@ -219,7 +219,7 @@
   Fixture fixture;
   CHECK(fixture.Run({"contract", "check", "c.ini"}) == ExitCode::kOk);
   CHECK(fixture.calls.empty());
-  fixture.answer = HttpAnswer{200, R"({"version":7,
+  fixture.answer = CliAnswer{200, R"({"version":7,
       "changes":[{"field":"ceiling.cpu","before":"9cores","after":"8cores"}],
       "excess":[{"field":"ceiling.cpu","used":8500,"allowed":8000}]})"};
   CHECK(fixture.Run({"contract", "check", "c.ini", "--compare"}) ==
@@ -287,7 +287,7 @@
 }
 
 struct FailureCase {
-  Result<HttpAnswer> answer;
+  Result<CliAnswer> answer;
   ExitCode code;
   std::string expected;
 };
@@ -295,26 +295,26 @@
 // Guards against an uncertain outcome that is told as a refusal (I5).
 TEST_CASE("refusals and lost answers tell whether the work was run") {
   const std::vector<FailureCase> cases = {
-      {HttpAnswer{
+      {CliAnswer{
            429,
            R"({"was_run":"no","error":{"kind":"over_limit","message":"100 per second"}})"},
        ExitCode::kRefused,
        "Refused (429 over_limit): 100 per second. It was not run and never "
        "will be. Run the command again a little later."},
-      {HttpAnswer{
+      {CliAnswer{
            504,
            R"({"was_run":"unknown","error":{"kind":"outcome_unknown","message":"late"}})"},
        ExitCode::kRefused,
        "No outcome (504 outcome_unknown): late. It is not known yet"},
-      {HttpAnswer{
+      {CliAnswer{
            502,
            R"({"was_run":"yes","error":{"kind":"worker_failed","message":"m"}})"},
        ExitCode::kRefused, "Failed (502 worker_failed): m. It was run."},
-      {HttpAnswer{
+      {CliAnswer{
            400,
            R"({"was_run":"no","error":{"kind":"bad_request","message":"m"}})"},
        ExitCode::kBadInput, "Refused (400 bad_request): m."},
-      {HttpAnswer{503, "<html>"}, ExitCode::kRefused, "Refused (503)."},
+      {CliAnswer{503, "<html>"}, ExitCode::kRefused, "Refused (503)."},
       {Fail(ErrorKind::kNoCapacity, "connection refused"),
        ExitCode::kNotReachable, "connection refused\nNothing was sent."},
       {Fail(ErrorKind::kOutcomeUnknown, "timeout"), ExitCode::kNotReachable,
--- a/gypsumfall/cli/contract_commands.cc
+++ b/gypsumfall/cli/contract_commands.cc
@@ -159,7 +159,7 @@
 }
 
 ExitCode Conflict(const PutArguments& arguments, std::int64_t base,
-                  const HttpAnswer& answer, const CliEnvironment& environment) {
+                  const CliAnswer& answer, const CliEnvironment& environment) {
   const ErrorAnswerBody error = DecodeError(answer.body);
   std::ostream& err = environment.err;
   err << "Not accepted: version " << error.current_version
--- a/gypsumfall/cli/inspect_commands.cc
+++ b/gypsumfall/cli/inspect_commands.cc
@@ -92,7 +92,7 @@
   }
   const auto key = ParseSecret(FirstLine(text));
   if (!key) return BadInput(environment, key.error());
-  environment.out << KeyDigest(key->reveal()) << "\n";
+  environment.out << KeyDigest(key->Reveal()) << "\n";
   return ExitCode::kOk;
 }
 
--- a/gypsumfall/cli/internal/session.h
+++ b/gypsumfall/cli/internal/session.h
@@ -48,14 +48,14 @@
                               const CliEnvironment& environment);
 
   /// @return the answer whatever its status, or `kNotReachable`.
-  OrExit<HttpAnswer> Send(const CallPlan& plan) const;
+  OrExit<CliAnswer> Send(const CallPlan& plan) const;
 
   /// @return the body of a 2xx answer, or the exit code of another one.
   OrExit<std::string> SendForBody(const CallPlan& plan) const;
 
   /// Prints an error answer.
   /// @return the exit code.
-  ExitCode Refused(const HttpAnswer& answer) const;
+  ExitCode Refused(const CliAnswer& answer) const;
 
   /// Prints that an answer can't be read.
   /// @return the exit code.
--- a/gypsumfall/cli/session.cc
+++ b/gypsumfall/cli/session.cc
@@ -38,7 +38,7 @@
   }
   // The same rule keeps line breaks out of the HTTP header.
   const auto secret = ParseSecret(key);
-  if (secret) return secret->reveal();
+  if (secret) return secret->Reveal();
   const std::string problem = key.empty() ? "no key is given" : secret.error();
   return tl::unexpected(BadInput(
       environment,
@@ -108,7 +108,7 @@
   return session;
 }
 
-OrExit<HttpAnswer> Session::Send(const CallPlan& plan) const {
+OrExit<CliAnswer> Session::Send(const CallPlan& plan) const {
   auto answer = environment_->call({server_, plan.method, plan.path, headers_,
                                     plan.body, kCallTimeout + plan.wait});
   if (answer) return *std::move(answer);
@@ -136,7 +136,7 @@
   return std::move(answer->body);
 }
 
-ExitCode Session::Refused(const HttpAnswer& answer) const {
+ExitCode Session::Refused(const CliAnswer& answer) const {
   const ErrorAnswerBody error = DecodeError(answer.body);
   std::ostream& err = environment_->err;
   err << OutcomeWord(error.was_run) << " (" << answer.status
--- /dev/null
+++ b/gypsumfall/main/main.cc
@@ -0,0 +1,101 @@
+// The one binary: an entry host, and the operators' and callers' subcommands.
+
+#include <boost/asio/io_context.hpp>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "gypsumfall/cli/cli.h"
+#include "gypsumfall/entry/entry.h"
+#include "gypsumfall/http/http.h"
+
+namespace gypsumfall {
+namespace {
+
+HttpMethod MethodFrom(const std::string& name) {
+  if (name == "GET") return HttpMethod::kGet;
+  if (name == "PUT") return HttpMethod::kPut;
+  if (name == "DELETE") return HttpMethod::kDelete;
+  return HttpMethod::kPost;
+}
+
+HttpCall ToHttpCall(const CliCall& call) {
+  constexpr std::string_view kBearer = "Bearer ";
+  HttpCall http{
+      .method = MethodFrom(call.method), .path = call.path, .body = call.body};
+  for (const HttpHeader& header : call.headers) {
+    if (header.name == "Authorization" && header.value.starts_with(kBearer)) {
+      http.bearer = header.value.substr(kBearer.size());
+    } else if (header.name == "X-Customer") {
+      http.customer = header.value;
+    }
+  }
+  return http;
+}
+
+Result<CliAnswer> SendOverHttp(const CliCall& call) {
+  boost::asio::io_context io(1);
+  ClientPool clients(io, ClientOptions{});
+  Result<CliAnswer> answer = Fail(ErrorKind::kInternal, "no outcome");
+  clients.Call(call.server.ToString(), ToHttpCall(call), call.timeout,
+               [&](CallOutcome outcome) {
+                 if (!outcome.failure) {
+                   answer = CliAnswer{outcome.status, std::move(outcome.body)};
+                 } else {
+                   answer = Fail(
+                       outcome.certainly_not_sent ? ErrorKind::kOwnerUnavailable
+                                                  : ErrorKind::kOutcomeUnknown,
+                       std::string(CallFailureName(*outcome.failure)));
+                 }
+                 io.stop();
+               });
+  io.run();
+  return answer;
+}
+
+Result<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file.is_open()) {
+    return Fail(ErrorKind::kBadRequest, "can not open " + path);
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return std::move(text).str();
+}
+
+std::optional<std::string> ReadVariable(const std::string& name) {
+  const char* value = std::getenv(name.c_str());
+  if (value == nullptr) return std::nullopt;
+  return std::string(value);
+}
+
+ExitCode Serve(const EntrySettings& settings) {
+  return static_cast<ExitCode>(RunEntryHost(settings));
+}
+
+int Main(int argc, char** argv) {
+  CliEnvironment environment{.call = SendOverHttp,
+                             .read_file = ReadFile,
+                             .variable = ReadVariable,
+                             .serve = Serve,
+                             .in = std::cin,
+                             .out = std::cout,
+                             .err = std::cerr};
+  return static_cast<int>(RunCli({argv + 1, argv + argc}, environment));
+}
+
+}  // namespace
+}  // namespace gypsumfall
+
+int main(int argc, char** argv) {
+  try {
+    return gypsumfall::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "gypsumfall: " << error.what() << "\n";
+    return EXIT_FAILURE;
+  }
+}
--- a/gypsumfall/protocol/worker_codec.cc
+++ b/gypsumfall/protocol/worker_codec.cc
@@ -1,42 +1,12 @@
-#include <array>
 #include <string>
 #include <string_view>
 
 #include "gypsumfall/protocol/internal/codec_impl.h"
+#include "gypsumfall/protocol/internal/worker_fields.h"
 #include "gypsumfall/protocol/protocol.h"
 
 namespace gypsumfall {
 
-namespace protocol_internal {
-
-template <>
-struct EnumNames<AttemptState> {
-  static constexpr std::array<std::string_view, 4> kNames = {
-      "running", "finished", "failed", "stopped"};
-};
-
-template <>
-struct EnumNames<ExchangeState> {
-  static constexpr std::array<std::string_view, 4> kNames = {
-      "finished", "failed", "running", "never_started"};
-};
-
-template <>
-struct EnumNames<RefusalReason> {
-  static constexpr std::array<std::string_view, 7> kNames = {
-      "stale_epoch", "expired",      "no_slot", "no_resources",
-      "leaving",     "unknown_kind", "closed"};
-};
-
-}  // namespace protocol_internal
-
-template <typename Visitor>
-void Fields(Visitor& visit, Of<AttemptId> auto& id) {
-  visit("customer", id.customer);
-  visit("task", id.task);
-  visit("attempt", id.number);
-}
-
 template <typename Visitor>
 void Fields(Visitor& visit, Of<CommandHeader> auto& header) {
   visit("owner", header.owner);
@@ -45,18 +15,6 @@
   visit("valid_until_ms", header.valid_until);
 }
 
-template <typename Visitor>
-void Fields(Visitor& visit, Of<AttemptReport> auto& report) {
-  Fields(visit, report.id);
-  visit("state", report.state);
-  visit("started", report.started);
-  visit("kind", report.kind);
-  visit("resources", report.resources);
-  visit("checkpoint", report.checkpoint);
-  visit("result", report.result);
-  visit("lease_until_ms", report.lease_until);
-}
-
 template <typename Visitor>
 void Fields(Visitor& visit, Of<ExchangeReport> auto& report) {
   visit("exchange", report.id);
@@ -92,13 +50,6 @@
   visit("exchanges", reply.exchanges);
 }
 
-template <typename Visitor>
-void Fields(Visitor& visit, Of<LeaseRenewal> auto& renewal) {
-  Fields(visit, renewal.id);
-  visit("task_epoch", renewal.task_epoch);
-  visit("lease_until_ms", renewal.lease_until);
-}
-
 template <typename Visitor>
 void Fields(Visitor& visit, Of<WorkerHeartbeatCall> auto& call) {
   Fields(visit, call.header);
--- a/testing/interleaving.cc
+++ b/testing/interleaving.cc
@@ -144,7 +144,7 @@
                        Do(owner, owner.table->OnLost(ticket, now));
                      }
                    },
-                   [&](const Refused& refused) {
+                   [&](const JournalRefused& refused) {
                      for (const JournalTicket ticket : refused.tickets) {
                        Do(owner,
                           owner.table->OnRefused(ticket, now, refused.reason));
