Add models of the platform and of workers

Tests of the decision libraries need a table service that loses answers and a worker that arbitrates between owners.

--- /dev/null
+++ b/standins/internal/checkpoint.h
@@ -0,0 +1,31 @@
+#ifndef STANDINS_INTERNAL_CHECKPOINT_H_
+#define STANDINS_INTERNAL_CHECKPOINT_H_
+
+#include <charconv>
+#include <string>
+#include <string_view>
+
+#include "gypsumfall/base/base.h"
+
+namespace gypsumfall::standins {
+
+inline constexpr std::string_view kCheckpointPrefix = "progress_us=";
+
+/// @return the checkpoint that tells this progress.
+inline std::string CheckpointText(Duration progress) {
+  return std::string(kCheckpointPrefix) + std::to_string(progress.count());
+}
+
+/// @return the progress that a checkpoint tells, or zero if it tells none.
+inline Duration CheckpointProgress(std::string_view checkpoint) {
+  if (!checkpoint.starts_with(kCheckpointPrefix)) return Duration::zero();
+  checkpoint.remove_prefix(kCheckpointPrefix.size());
+  Duration::rep progress = 0;
+  std::from_chars(checkpoint.data(), checkpoint.data() + checkpoint.size(),
+                  progress);
+  return Duration(progress);
+}
+
+}  // namespace gypsumfall::standins
+
+#endif  // STANDINS_INTERNAL_CHECKPOINT_H_
