--- a/gypsumfall/telemetry/histogram.cc
+++ b/gypsumfall/telemetry/histogram.cc
@@ -17,21 +17,24 @@
 
 namespace bh = boost::histogram;
 
-// 1 us to 1000 s: ln(1e9) / ln(1.05) buckets are 5% wide.
 constexpr double kLowestUs = 1;
 constexpr double kHighestUs = 1e9;
-constexpr unsigned kBuckets = 425;
 
-auto MakeHistogram() {
+auto MakeHistogram(double width) {
   using Axis = bh::axis::regular<double, bh::axis::transform::log>;
-  return bh::make_histogram_with(std::vector<std::uint64_t>(),
-                                 Axis(kBuckets, kLowestUs, kHighestUs));
+  const double buckets =
+      std::ceil(std::log(kHighestUs / kLowestUs) / std::log1p(width));
+  return bh::make_histogram_with(
+      std::vector<std::uint64_t>(),
+      Axis(static_cast<unsigned>(buckets), kLowestUs, kHighestUs));
 }
 
 }  // namespace
 
 class LatencyHistogram::Impl {
  public:
+  explicit Impl(double width) : histogram_(MakeHistogram(width)) {}
+
   void Record(Duration duration) {
     const auto us = std::max<Duration::rep>(duration.count(), 0);
     const std::lock_guard lock(mutex_);
@@ -46,7 +49,7 @@
     const auto rank = static_cast<std::uint64_t>(
         std::ceil(quantile * static_cast<double>(count_)));
     std::uint64_t seen = 0;
-    for (int i = 0; i < static_cast<int>(kBuckets); ++i) {
+    for (int i = 0; i < histogram_.axis().size(); ++i) {
       seen += histogram_.at(i);
       if (seen >= std::max<std::uint64_t>(rank, 1)) {
         return Duration(static_cast<Duration::rep>(
@@ -68,12 +71,13 @@
 
  private:
   mutable std::mutex mutex_;
-  decltype(MakeHistogram()) histogram_ = MakeHistogram();
+  decltype(MakeHistogram(0)) histogram_;
   std::uint64_t count_ = 0;
   Duration sum_ = Duration::zero();
 };
 
-LatencyHistogram::LatencyHistogram() : impl_(std::make_unique<Impl>()) {}
+LatencyHistogram::LatencyHistogram(double width)
+    : impl_(std::make_unique<Impl>(width)) {}
 LatencyHistogram::~LatencyHistogram() = default;
 
 void LatencyHistogram::Record(Duration duration) { impl_->Record(duration); }
--- a/gypsumfall/telemetry/telemetry.h
+++ b/gypsumfall/telemetry/telemetry.h
@@ -112,15 +112,22 @@
   std::atomic<double> value_ = 0;
 };
 
-/// Durations from 1 us to 1000 s in buckets 5% wide. Thread-safe.
+/// Durations from 1 us to 1000 s in buckets of equal relative width.
+/// Thread-safe.
 class LatencyHistogram {
  public:
-  LatencyHistogram();
+  /// 5%: 3.4 KB per histogram.
+  static constexpr double kDefaultWidth = 0.05;
+  /// 1%: 17 KB per histogram, for benchmarks.
+  static constexpr double kFineWidth = 0.01;
+
+  /// @param width relative width of a bucket, above 0.
+  explicit LatencyHistogram(double width = kDefaultWidth);
   ~LatencyHistogram();
 
   void Record(Duration duration);
   /// @return the upper bound of the bucket that holds the quantile, so at most
-  ///   5% too high; zero if nothing was recorded.
+  ///   one width too high; zero if nothing was recorded.
   /// @param quantile from 0 to 1.
   Duration Quantile(double quantile) const;
   std::uint64_t count() const;
