--- a/gypsumfall/http/internal/server.h
+++ b/gypsumfall/http/internal/server.h
@@ -59,6 +59,9 @@
   /// disconnected, the response is dropped.
   void operator()(const HttpResponse& response);
 
+  /// Closes the connection without an answer, as a failing server does.
+  void Abandon();
+
  private:
   std::shared_ptr<http_internal::ServerConnection> connection_;
 };
@@ -89,6 +92,8 @@
 
   /// @return requests that were received and not yet fully answered.
   std::size_t open_requests() const;
+  /// @return connections that were refused because of the limit.
+  std::size_t refused_connections() const;
   /// @return open connections.
   std::size_t connections() const;
 
--- a/gypsumfall/http/internal/server_core.h
+++ b/gypsumfall/http/internal/server_core.h
@@ -40,6 +40,7 @@
   bool stopping() const { return stopping_; }
   std::size_t connections() const { return connections_.size(); }
   std::size_t open_requests() const { return open_requests_; }
+  std::size_t refused_connections() const { return refused_connections_; }
 
   void CountOpened() { ++open_requests_; }
   void CountAnswered() { --open_requests_; }
@@ -62,6 +63,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
   std::size_t open_requests_ = 0;
+  std::size_t refused_connections_ = 0;
   int lingering_ = 0;
   bool stopping_ = false;
   UniqueFunction<std::size_t> stopped_;
--- a/gypsumfall/http/server.cc
+++ b/gypsumfall/http/server.cc
@@ -84,6 +84,7 @@
   const bool full =
       connections_.size() >=
       options_.max_connections + static_cast<std::size_t>(lingering_);
+  if (full) ++refused_connections_;
   if (full && lingering_ >= kMaxLingering) return;
   auto connection =
       std::make_shared<ServerConnection>(shared_from_this(), std::move(socket));
@@ -182,6 +183,10 @@
   std::exchange(connection_, nullptr)->Respond(response);
 }
 
+void Responder::Abandon() {
+  if (connection_) std::exchange(connection_, nullptr)->Close();
+}
+
 Server::Server(boost::asio::io_context& io, ServerOptions options,
                Handler handler)
     : core_(std::make_shared<http_internal::ServerCore>(io, std::move(options),
@@ -197,6 +202,10 @@
 
 std::size_t Server::open_requests() const { return core_->open_requests(); }
 
+std::size_t Server::refused_connections() const {
+  return core_->refused_connections();
+}
+
 std::size_t Server::connections() const { return core_->connections(); }
 
 }  // namespace gypsumfall
--- a/gypsumfall/http/server_test.cc
+++ b/gypsumfall/http/server_test.cc
@@ -159,6 +159,7 @@
   second.Send(kGet);
   RunUntil(fixture.io, [&] { return second.ended(); });
   CHECK(Has(second.received(), "over_limit"));
+  CHECK(fixture.server.refused_connections() == 1);
   first.Close();
   second.Close();
   RunUntil(fixture.io, [&] { return fixture.server.connections() == 0; });
--- /dev/null
+++ b/standins/internal/run_log.h
@@ -0,0 +1,35 @@
+#ifndef STANDINS_INTERNAL_RUN_LOG_H_
+#define STANDINS_INTERNAL_RUN_LOG_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "standins/internal/worker_model.h"
+
+namespace gypsumfall::standins {
+
+/// Checks over all workers that no task runs in two places.
+class RunLog {
+ public:
+  void Record(const WorkerId& worker, const std::vector<WorkEvent>& events);
+  /// @return what was found; at most 100 entries are kept.
+  const std::vector<std::string>& violations() const { return violations_; }
+  std::uint64_t attempts_started() const { return attempts_started_; }
+  std::uint64_t requests_started() const { return requests_started_; }
+
+ private:
+  void RecordAttempt(const WorkerId& worker, const WorkEvent& event);
+
+  std::map<std::pair<CustomerId, TaskId>, std::pair<AttemptId, WorkerId>>
+      running_;
+  std::vector<std::string> violations_;
+  std::uint64_t attempts_started_ = 0;
+  std::uint64_t requests_started_ = 0;
+};
+
+}  // namespace gypsumfall::standins
+
+#endif  // STANDINS_INTERNAL_RUN_LOG_H_
--- a/standins/internal/worker_model.h
+++ b/standins/internal/worker_model.h
@@ -98,12 +98,19 @@
 
   const WorkerId& id() const { return id_; }
   bool Reachable(Time now) const;
+  /// @return when the current or last pause ends.
+  Time paused_until() const { return paused_until_; }
+  int connections() const { return options_.connections; }
   bool leaving() const { return leaving_; }
   Incarnation incarnation() const { return incarnation_; }
   WorkerTime Clock(Time now) const;
   /// @return resources of all that runs.
   Resources used() const;
   std::size_t running() const { return running_.size(); }
+  /// @return the most work that ever ran at once.
+  std::size_t peak_running() const { return peak_running_; }
+  std::uint64_t requests_ended() const { return requests_ended_; }
+  std::uint64_t attempts_ended() const { return attempts_ended_; }
   /// @return what must never happen: capacity, slots or connections exceeded,
   /// or two attempts of one task at once. At most 100 entries are kept.
   const std::vector<std::string>& violations() const { return violations_; }
@@ -195,6 +202,9 @@
   std::vector<WorkEvent> events_;
   std::vector<std::string> violations_;
   std::uint64_t overcommits_ = 0;
+  std::size_t peak_running_ = 0;
+  std::uint64_t requests_ended_ = 0;
+  std::uint64_t attempts_ended_ = 0;
 };
 
 }  // namespace gypsumfall::standins
--- a/standins/models.h
+++ b/standins/models.h
@@ -17,6 +17,7 @@
 
 #include "standins/internal/fault_rules.h"
 #include "standins/internal/platform_models.h"
+#include "standins/internal/run_log.h"
 #include "standins/internal/worker_model.h"
 
 #endif  // STANDINS_MODELS_H_
--- /dev/null
+++ b/standins/platform_service.cc
@@ -0,0 +1,177 @@
+#include "standins/internal/platform_service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "standins/internal/http_text.h"
+
+namespace gypsumfall::standins {
+namespace {
+
+constexpr std::string_view kObjectsPath = "/v1/objects/";
+// Objects are snapshots of whole task partitions.
+constexpr std::size_t kMaxBody = std::size_t{16} << 20;
+
+HttpResponse Ok(std::string body) { return {.body = std::move(body)}; }
+
+}  // namespace
+
+PlatformService::PlatformService(boost::asio::io_context& io,
+                                 const PlatformOptions& options)
+    : io_(io),
+      table_(options.table, FaultRules(options.seed)),
+      objects_(FaultRules(options.seed + 1)),
+      hosts_(options.host_list_lag, FaultRules(options.seed + 2)),
+      server_(io, {.listen = options.listen, .max_body = kMaxBody},
+              [this](HttpRequest request, Responder respond) {
+                Handle(std::move(request), std::move(respond));
+              }) {}
+
+PlatformService::~PlatformService() = default;
+
+Result<std::string> PlatformService::Start() { return server_.Start(); }
+
+void PlatformService::Handle(HttpRequest request, Responder respond) {
+  static const std::unordered_map<std::string_view, Route> routes = {
+      {"/v1/transact", &PlatformService::Transact},
+      {"/v1/read", &PlatformService::Read},
+      {"/v1/scan", &PlatformService::Scan},
+      {"/v1/hosts", &PlatformService::Hosts},
+      {"/standin/hosts", &PlatformService::SetHosts},
+      {"/standin/stats", &PlatformService::Stats},
+      {"/faults", &PlatformService::SetFaults}};
+  const auto route = routes.find(request.path);
+  if (route != routes.end()) {
+    (this->*route->second)(std::move(request), std::move(respond));
+  } else if (request.path.starts_with(kObjectsPath)) {
+    Object(std::move(request), std::move(respond));
+  } else {
+    respond(ErrorResponse(ErrorKind::kNotFound, request.path));
+  }
+}
+
+template <typename Reply, typename Body>
+void PlatformService::Give(const Answer<Reply>& answer, Responder respond,
+                           Body body) {
+  if (answer.down) {
+    respond(ErrorResponse(ErrorKind::kStoreUnavailable, "down"));
+  } else if (answer.refused) {
+    respond(ErrorResponse(*answer.refused, "refused by the service"));
+  } else if (!answer.reply) {
+    respond.Abandon();
+  } else if (answer.delay == Duration::zero()) {
+    respond(body(*answer.reply));
+  } else {
+    GiveLater(answer.delay, body(*answer.reply), std::move(respond));
+  }
+}
+
+void PlatformService::GiveLater(Duration delay, HttpResponse response,
+                                Responder respond) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
+  timer->async_wait(
+      [timer, response = std::move(response), respond = std::move(respond)](
+          const boost::system::error_code&) mutable { respond(response); });
+}
+
+void PlatformService::Transact(HttpRequest request, Responder respond) {
+  const auto call = Decode<TransactCall>(request.body);
+  if (!call) return respond(ErrorResponse(call.error()));
+  Give(table_.Transact(*call, Now()), std::move(respond),
+       [](const TransactReply& reply) { return Ok(Encode(reply)); });
+}
+
+void PlatformService::Read(HttpRequest request, Responder respond) {
+  const auto call = Decode<ReadCall>(request.body);
+  if (!call) return respond(ErrorResponse(call.error()));
+  Give(table_.Read(*call, Now()), std::move(respond),
+       [](const RowsReply& reply) { return Ok(Encode(reply)); });
+}
+
+void PlatformService::Scan(HttpRequest request, Responder respond) {
+  const auto call = Decode<ScanCall>(request.body);
+  if (!call) return respond(ErrorResponse(call.error()));
+  Give(table_.Scan(*call, Now()), std::move(respond),
+       [](const RowsReply& reply) { return Ok(Encode(reply)); });
+}
+
+void PlatformService::Hosts(HttpRequest /*request*/, Responder respond) {
+  Give(hosts_.View(Now()), std::move(respond),
+       [](const HostListReply& reply) { return Ok(Encode(reply)); });
+}
+
+void PlatformService::Object(HttpRequest request, Responder respond) {
+  const auto name =
+      PercentDecode(std::string_view(request.path).substr(kObjectsPath.size()));
+  if (!name || name->empty()) {
+    return respond(ErrorResponse(ErrorKind::kBadRequest, "object name"));
+  }
+  const auto ok = [](bool) { return Ok("{}"); };
+  switch (request.method) {
+    case HttpMethod::kPut:
+      return Give(objects_.Put(*name, std::move(request.body)),
+                  std::move(respond), ok);
+    case HttpMethod::kDelete:
+      return Give(objects_.Delete(*name), std::move(respond), ok);
+    case HttpMethod::kGet:
+      return Give(objects_.Get(*name), std::move(respond),
+                  [&](const std::optional<std::string>& object) {
+                    if (!object) {
+                      return ErrorResponse(ErrorKind::kNotFound, *name);
+                    }
+                    return HttpResponse{
+                        .body = *object,
+                        .content_type = "application/octet-stream"};
+                  });
+    default:
+      respond(ErrorResponse(ErrorKind::kBadRequest, "method"));
+  }
+}
+
+void PlatformService::SetHosts(HttpRequest request, Responder respond) {
+  const auto list = Decode<HostListReply>(request.body);
+  if (!list) return respond(ErrorResponse(list.error()));
+  for (const ListedHost& host : list->hosts) hosts_.Set(host, Now());
+  respond(Ok("{}"));
+}
+
+void PlatformService::SetFaults(HttpRequest request, Responder respond) {
+  if (request.method == HttpMethod::kDelete) {
+    table_.faults().Clear();
+    objects_.faults().Clear();
+    hosts_.faults().Clear();
+    return respond(Ok("{}"));
+  }
+  const auto fault = FaultFromName(request.QueryValue("fault").value_or(""));
+  if (!fault) {
+    return respond(ErrorResponse(ErrorKind::kBadRequest,
+                                 "fault must be one of down, slow, "
+                                 "applied_answer_lost, "
+                                 "not_applied_answer_lost"));
+  }
+  FaultRule rule{.fault = *fault};
+  rule.op = request.QueryValue("op").value_or("");
+  rule.key_prefix = request.QueryValue("key_prefix").value_or("");
+  rule.probability = QueryNumber(request, "probability", 1);
+  rule.count = static_cast<int>(QueryNumber(request, "count", -1));
+  rule.delay = QueryMilliseconds(request, "delay_ms");
+  table_.faults().Add(rule);
+  objects_.faults().Add(rule);
+  hosts_.faults().Add(rule);
+  respond(Ok("{}"));
+}
+
+void PlatformService::Stats(HttpRequest /*request*/, Responder respond) {
+  respond(Ok("{\"rows\":" + std::to_string(table_.rows().size()) +
+             ",\"rows_written\":" + std::to_string(table_.rows_written()) +
+             ",\"keys_read\":" + std::to_string(table_.keys_read()) +
+             ",\"over_rate\":" + std::to_string(table_.over_rate()) +
+             ",\"objects\":" + std::to_string(objects_.objects().size()) +
+             "}"));
+}
+
+}  // namespace gypsumfall::standins
--- a/standins/worker_run.cc
+++ b/standins/worker_run.cc
@@ -136,6 +136,7 @@
     events_.push_back({at, true, work.attempt, work.exchange});
   }
   running_.push_back(std::move(work));
+  peak_running_ = std::max(peak_running_, running_.size());
   if (!used().FitsIn(options_.capacity)) Violation("capacity exceeded");
   if (running_.size() > static_cast<std::size_t>(options_.slots)) {
     Violation("slots exceeded");
@@ -144,6 +145,7 @@
 }
 
 void WorkerModel::EndAttempt(const Work& work, AttemptState state, Time at) {
+  ++attempts_ended_;
   AttemptReport report = ReportOf(work);
   report.state = state;
   if (state == AttemptState::kFinished) {
@@ -159,6 +161,7 @@
 }
 
 void WorkerModel::EndExchange(const Work& work, Time at) {
+  ++requests_ended_;
   const bool fails = faults_.fail_everything || BehaviourOf(work.kind).fails;
   RequestReply reply{.exchange = *work.exchange,
                      .refused = {},
