--- a/gypsumfall/entry/contract_service.cc
+++ b/gypsumfall/entry/contract_service.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Duration kTick = milliseconds(50);
-constexpr Duration kStoreTimeout = seconds(2);
 constexpr Duration kShortestPoll = milliseconds(500);
 // Reads of the revision row per second by all entry hosts together.
 constexpr int kFleetReadsPerSecond = 30;
@@ -41,8 +40,8 @@
 
 void ContractService::Perform(std::vector<FollowAction> actions) {
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
-  const auto on_rows = [this](StoreOutcome<RowsReply> answer) {
-    const Result<RowsReply> reply = std::move(answer).ToResult();
+  const auto on_rows = [this](PlatformResult<RowsReply> answer) {
+    const Result<RowsReply> reply = ToResult(std::move(answer));
     if (reply) {
       Perform(follower_.OnRows(*reply, context_.Now()));
     } else {
@@ -51,9 +50,9 @@
   };
   for (FollowAction& action : actions) {
     if (auto* read = std::get_if<ReadRows>(&action)) {
-      store->table().Read(read->call, kStoreTimeout, on_rows);
+      store->table().Read(read->call, on_rows);
     } else if (auto* scan = std::get_if<ScanRows>(&action)) {
-      store->table().Scan(scan->call, kStoreTimeout, on_rows);
+      store->table().Scan(scan->call, on_rows);
     } else {
       Apply(std::get<ApplyContracts>(action));
     }
@@ -113,19 +112,18 @@
 void ContractService::SendPutRead(const std::shared_ptr<RunningPut>& running,
                                   const ReadCall& call) {
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
-  store->table().Read(call, kStoreTimeout,
-                      [this, running](StoreOutcome<RowsReply> answer) {
-                        const auto reply = std::move(answer).ToResult();
-                        Perform(running, reply ? running->put.OnRows(*reply)
-                                               : running->put.OnReadFailed());
-                      });
+  store->table().Read(call, [this, running](PlatformResult<RowsReply> answer) {
+    const auto reply = ToResult(std::move(answer));
+    Perform(running,
+            reply ? running->put.OnRows(*reply) : running->put.OnReadFailed());
+  });
 }
 
 void ContractService::SendPutTransact(
     const std::shared_ptr<RunningPut>& running, const TransactCall& call) {
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
   store->table().Transact(
-      call, kStoreTimeout, [this, running](StoreOutcome<TransactReply> answer) {
+      call, [this, running](PlatformResult<TransactReply> answer) {
         if (answer.reply) {
           Perform(running, running->put.OnTransactReply(*answer.reply));
         } else if (answer.certainly_not_applied) {
@@ -145,17 +143,17 @@
     call.keys.push_back(ContractHistoryKey(customer, ContractVersion(version)));
   }
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
-  store->table().Read(call, kStoreTimeout,
-                      [done = std::move(done)](StoreOutcome<RowsReply> answer) {
-                        const auto reply = std::move(answer).ToResult();
-                        if (!reply) return done(tl::unexpected(reply.error()));
-                        std::vector<StoredContract> versions;
-                        for (const Row& row : reply->rows) {
-                          auto stored = DecodeStoredContract(row.value);
-                          if (stored) versions.push_back(std::move(*stored));
-                        }
-                        done(std::move(versions));
-                      });
+  store->table().Read(
+      call, [done = std::move(done)](PlatformResult<RowsReply> answer) {
+        const auto reply = ToResult(std::move(answer));
+        if (!reply) return done(tl::unexpected(reply.error()));
+        std::vector<StoredContract> versions;
+        for (const Row& row : reply->rows) {
+          auto stored = DecodeStoredContract(row.value);
+          if (stored) versions.push_back(std::move(*stored));
+        }
+        done(std::move(versions));
+      });
 }
 
 std::string ContractService::Dump() const {
--- a/gypsumfall/entry/internal/store_service.h
+++ b/gypsumfall/entry/internal/store_service.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "gypsumfall/entry/internal/context.h"
 #include "gypsumfall/platform/platform.h"
@@ -10,6 +11,16 @@
 
 namespace gypsumfall {
 
+/// @return the reply; `kStoreUnavailable` if the call certainly had no effect,
+///     else `kOutcomeUnknown`.
+template <typename Reply>
+Result<Reply> ToResult(PlatformResult<Reply> outcome) {
+  if (outcome.reply) return *std::move(outcome.reply);
+  return Fail(outcome.certainly_not_applied ? ErrorKind::kStoreUnavailable
+                                            : ErrorKind::kOutcomeUnknown,
+              std::move(outcome.detail));
+}
+
 /// The platform's services as this entry host reaches them.
 class StoreService : public Service {
  public:
--- a/gypsumfall/entry/ownership_service.cc
+++ b/gypsumfall/entry/ownership_service.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Duration kTick = milliseconds(100);
-constexpr Duration kStoreTimeout = seconds(2);
 // A stop does not wait longer for a table service that is out of reach; the
 // rows then lapse instead of being handed over.
 constexpr Duration kLongestHandOver = seconds(10);
@@ -69,25 +68,24 @@
 
 void OwnershipService::Transact(const TransactCall& call, bool is_lease) {
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
-  store->table().Transact(
-      call, kStoreTimeout,
-      [this, is_lease, token = call.token](StoreOutcome<TransactReply> answer) {
-        const Result<TransactReply> reply = std::move(answer).ToResult();
-        const Time now = context_.Now();
-        if (is_lease) {
-          Perform(lease_.OnTransacted(token, reply, now));
-        } else {
-          Perform(partitions_.OnTransacted(token, reply, now));
-        }
-      });
+  store->table().Transact(call, [this, is_lease, token = call.token](
+                                    PlatformResult<TransactReply> answer) {
+    const Result<TransactReply> reply = ToResult(std::move(answer));
+    const Time now = context_.Now();
+    if (is_lease) {
+      Perform(lease_.OnTransacted(token, reply, now));
+    } else {
+      Perform(partitions_.OnTransacted(token, reply, now));
+    }
+  });
 }
 
 void OwnershipService::Perform(PartitionActions actions) {
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
   auto* members = context_.kernel.Find<MembershipService>(kMembershipService);
   const auto on_rows = [this](const std::string& token) {
-    return [this, token](StoreOutcome<RowsReply> answer) {
-      Perform(partitions_.OnRows(token, std::move(answer).ToResult(),
+    return [this, token](PlatformResult<RowsReply> answer) {
+      Perform(partitions_.OnRows(token, ToResult(std::move(answer)),
                                  context_.Now()));
     };
   };
@@ -95,9 +93,9 @@
     if (auto* send = std::get_if<OwnershipTransact>(&action)) {
       Transact(send->call, false);
     } else if (auto* read = std::get_if<OwnershipRead>(&action)) {
-      store->table().Read(read->call, kStoreTimeout, on_rows(read->token));
+      store->table().Read(read->call, on_rows(read->token));
     } else if (auto* scan = std::get_if<OwnershipScan>(&action)) {
-      store->table().Scan(scan->call, kStoreTimeout, on_rows(scan->token));
+      store->table().Scan(scan->call, on_rows(scan->token));
     } else if (auto* gained = std::get_if<OwnershipGained>(&action)) {
       on_gained(TaskPartitionNumber(gained->partition), gained->epoch,
                 gained->version);
--- a/gypsumfall/entry/task_partition.cc
+++ b/gypsumfall/entry/task_partition.cc
@@ -9,7 +9,6 @@
 namespace gypsumfall {
 namespace {
 
-constexpr Duration kStoreTimeout = seconds(2);
 // A hand-over does not wait longer for the last commit; the next owner then
 // finds its outcome in the journal.
 constexpr Duration kLongestQuiesce = seconds(3);
@@ -195,9 +194,8 @@
       SendTransact(*send);
     } else if (const auto* read = std::get_if<SendRead>(&action)) {
       store->table().Read(
-          read->read, kStoreTimeout,
-          [this, weak = std::weak_ptr(alive_),
-           call = read->call](StoreOutcome<RowsReply> answer) {
+          read->read, [this, weak = std::weak_ptr(alive_),
+                       call = read->call](PlatformResult<RowsReply> answer) {
             if (weak.expired()) return;
             const Time at = context_.Now();
             Perform(answer.reply
@@ -208,8 +206,7 @@
     } else if (const auto* put = std::get_if<PutSnapshotObject>(&action)) {
       PutObject(*put);
     } else if (const auto* old = std::get_if<DeleteSnapshotObject>(&action)) {
-      store->objects().Delete(old->name, kStoreTimeout,
-                              [](const StoreOutcome<bool>&) {});
+      store->objects().Delete(old->name, [](const PlatformResult<bool>&) {});
     } else if (const auto* committed = std::get_if<Committed>(&action)) {
       for (const JournalTicket ticket : committed->tickets) {
         Perform(table_->OnDurable(ticket, now));
@@ -231,9 +228,8 @@
 void TaskPartition::SendTransact(const gypsumfall::SendTransact& send) {
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
   store->table().Transact(
-      send.transact, kStoreTimeout,
-      [this, weak = std::weak_ptr(alive_),
-       call = send.call](StoreOutcome<TransactReply> answer) {
+      send.transact, [this, weak = std::weak_ptr(alive_),
+                      call = send.call](PlatformResult<TransactReply> answer) {
         if (weak.expired()) return;
         const Time now = context_.Now();
         if (answer.reply) {
@@ -249,9 +245,9 @@
 
 void TaskPartition::PutObject(const PutSnapshotObject& put) {
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
-  store->objects().Put(put.name, put.text, kStoreTimeout,
+  store->objects().Put(put.name, put.text,
                        [this, weak = std::weak_ptr(alive_),
-                        call = put.call](const StoreOutcome<bool>& answer) {
+                        call = put.call](const PlatformResult<bool>& answer) {
                          if (weak.expired()) return;
                          Perform(journal_->OnObjectPut(
                              call, answer.reply.has_value(), context_.Now()));
--- a/gypsumfall/entry/task_partition_recovery.cc
+++ b/gypsumfall/entry/task_partition_recovery.cc
@@ -6,7 +6,6 @@
 namespace gypsumfall {
 namespace {
 
-constexpr Duration kStoreTimeout = seconds(2);
 constexpr Duration kRetryDelay = seconds(1);
 // Rows of up to 64 KiB keep a page under the client's body limit.
 constexpr int kLogPage = 100;
@@ -15,9 +14,9 @@
 
 void TaskPartition::Recover() {
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
-  store->table().Read({{SnapshotRowKey(options_.number)}}, kStoreTimeout,
+  store->table().Read({{SnapshotRowKey(options_.number)}},
                       [this, weak = std::weak_ptr(alive_)](
-                          const StoreOutcome<RowsReply>& answer) {
+                          const PlatformResult<RowsReply>& answer) {
                         if (weak.expired()) return;
                         if (!answer.reply || answer.reply->rows.size() != 1) {
                           RetryRecovery("the snapshot row can not be read");
@@ -52,16 +51,17 @@
 
 void TaskPartition::ReadSnapshot(const SnapshotPointer& pointer) {
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
-  store->objects().Get(pointer.object, kStoreTimeout,
-                       [this, weak = std::weak_ptr(alive_),
-                        pointer](const StoreOutcome<std::string>& answer) {
-                         if (weak.expired()) return;
-                         if (answer.reply) {
-                           ScanLog(pointer, *answer.reply, {});
-                         } else {
-                           RetryRecovery("the snapshot can not be read");
-                         }
-                       });
+  store->objects().Get(
+      pointer.object,
+      [this, weak = std::weak_ptr(alive_),
+       pointer](const PlatformResult<std::optional<std::string>>& answer) {
+        if (weak.expired()) return;
+        if (answer.reply && *answer.reply) {
+          ScanLog(pointer, **answer.reply, {});
+        } else {
+          RetryRecovery("the snapshot can not be read");
+        }
+      });
 }
 
 void TaskPartition::ScanLog(const SnapshotPointer& pointer,
@@ -71,9 +71,8 @@
   if (!rows.empty()) call.after = rows.back().key;
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
   store->table().Scan(
-      call, kStoreTimeout,
-      [this, weak = std::weak_ptr(alive_), pointer, snapshot,
-       rows = std::move(rows)](StoreOutcome<RowsReply> answer) mutable {
+      call, [this, weak = std::weak_ptr(alive_), pointer, snapshot,
+             rows = std::move(rows)](PlatformResult<RowsReply> answer) mutable {
         if (weak.expired()) return;
         if (!answer.reply) {
           RetryRecovery("the log can not be read");
--- a/gypsumfall/entry/worker_service.cc
+++ b/gypsumfall/entry/worker_service.cc
@@ -12,7 +12,6 @@
 
 constexpr Duration kTick = milliseconds(50);
 constexpr Duration kHostListInterval = seconds(2);
-constexpr Duration kStoreTimeout = seconds(2);
 constexpr Duration kCommandTimeout = seconds(1);
 
 FleetSettings SettingsFrom(const EntrySettings& settings) {
@@ -55,17 +54,15 @@
 
 void WorkerService::PollHostList() {
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
-  store->host_list().List(
-      kStoreTimeout, [this](StoreOutcome<HostListReply> answer) {
-        if (!answer.reply) return;
-        for (const ListedHost& host : answer.reply->hosts) {
-          listed_[host.id] = host;
-        }
-        auto* members =
-            context_.kernel.Find<MembershipService>(kMembershipService);
-        members->membership().OnHostList(answer.reply->hosts, context_.Now());
-        Perform(fleet_.OnHostList(answer.reply->hosts, context_.Now()));
-      });
+  store->host_list().List([this](PlatformResult<HostListReply> answer) {
+    if (!answer.reply) return;
+    for (const ListedHost& host : answer.reply->hosts) {
+      listed_[host.id] = host;
+    }
+    auto* members = context_.kernel.Find<MembershipService>(kMembershipService);
+    members->membership().OnHostList(answer.reply->hosts, context_.Now());
+    Perform(fleet_.OnHostList(answer.reply->hosts, context_.Now()));
+  });
 }
 
 RackId WorkerService::RackOf(const WorkerId& worker) const {
