Read misspelt names as the nearest name after reporting them

A misspelt section made each of its keys appear as missing, and the values below it were not checked, so the fault to correct was hidden among others. The text is still refused. The command line now also names the nearest group of commands and says that a command comes before its options.

The numbers of digests and kinds are bounded and tested.

--- a/gypsumfall/cli/cli.cc
+++ b/gypsumfall/cli/cli.cc
@@ -56,25 +56,41 @@
   return {nullptr, 0};
 }
 
+// @return the names of the commands whose name starts with a word.
+std::vector<std::string> NamesInGroup(const std::vector<Command>& commands,
+                                      const std::string& word) {
+  std::vector<std::string> names;
+  for (const Command& command : commands) {
+    const bool in_group =
+        word.empty() || (command.name + " ").starts_with(word + " ");
+    if (in_group) names.push_back(command.name);
+  }
+  return names;
+}
+
 ExitCode UnknownCommand(const std::vector<Command>& commands,
                         const std::vector<std::string>& arguments,
                         std::ostream& err) {
   std::string given = arguments[0];
+  if (given.starts_with("-")) {
+    err << "the command must come before its options; write for example "
+           "\"gypsumfall contract list "
+        << given << " ...\"\n";
+    return ExitCode::kBadInput;
+  }
   if (arguments.size() > 1) given += " " + arguments[1];
-  std::vector<std::string> names;
-  std::vector<std::string> in_group;
+  std::vector<std::string> groups;
+  groups.reserve(commands.size());
   for (const Command& command : commands) {
-    names.push_back(command.name);
-    if (command.name.starts_with(arguments[0] + " ")) {
-      in_group.push_back(command.name);
-    }
+    groups.push_back(command.name.substr(0, command.name.find(' ')));
   }
-  std::string nearest = NearestName(given, names);
-  if (nearest.empty()) nearest = NearestName(arguments[0], names);
+  std::string nearest = NearestName(given, NamesInGroup(commands, ""));
+  if (nearest.empty()) nearest = NearestName(arguments[0], groups);
   err << "unknown command " << Quote(given);
   if (!nearest.empty()) err << "; did you mean \"" << nearest << "\"?";
+  const std::string group = nearest.substr(0, nearest.find(' '));
   err << (nearest.empty() ? "; allowed: " : " Allowed: ")
-      << JoinNames(in_group.empty() ? names : in_group) << "\n";
+      << JoinNames(NamesInGroup(commands, group)) << "\n";
   return ExitCode::kBadInput;
 }
 
--- a/gypsumfall/contract/contract_test.cc
+++ b/gypsumfall/contract/contract_test.cc
@@ -159,6 +159,29 @@
   }
 }
 
+// Guards against follow-up faults that hide the one to correct.
+TEST_CASE("contradictions with a value that was not read are not reported") {
+  const auto parsed = ParseContract(With("cpu = 8cores", "cpu = 8"));
+  REQUIRE_FALSE(parsed.has_value());
+  CHECK(parsed.error().size() == 1);
+}
+
+// Guards against a contract that makes every call slow.
+TEST_CASE("numbers of digests and kinds are bounded") {
+  std::string digests;
+  for (int i = 0; i < 16; ++i) {
+    digests += "\nkey_digest = " + KeyDigest(std::to_string(i));
+  }
+  CHECK_THAT(FaultsOf(With("\n[guaranteed]", digests + "\n[guaranteed]")),
+             Catch::Contains("there are more than 16 digests"));
+  std::string kinds = ValidText();
+  for (int i = 0; i < 255; ++i) {
+    kinds += "[kind k" + std::to_string(i) +
+             "]\nshape = request\ncpu = 1m\nmemory = 1MiB\n";
+  }
+  CHECK_THAT(FaultsOf(kinds), Catch::Contains("there are more than 256 kinds"));
+}
+
 // Guards against a key that was pasted in place of its digest being shown.
 TEST_CASE("faults never show a key") {
   const auto faults = FaultsOf(With(Digest(), "acme-key"));
--- a/gypsumfall/settings/entry_settings.cc
+++ b/gypsumfall/settings/entry_settings.cc
@@ -162,7 +162,8 @@
   }
 
   void Report(int line, std::string message) {
-    AddFault(faults_, document_.file, line, std::move(message));
+    AddFault(faults_, line == 0 ? kCommandLine : document_.file, line,
+             std::move(message));
   }
 
   // Two hosts under one name or address would take each other's messages.
--- a/gypsumfall/settings/fields.cc
+++ b/gypsumfall/settings/fields.cc
@@ -54,6 +54,7 @@
                      [&](const Field& f) { return f.key == entry.key; });
     if (field == fields_.end()) {
       Report(entry.line, UnknownKey(entry.key), from_command_line);
+      ReadMisspelt(entry);
       return;
     }
     const auto [first, fresh] = first_lines_.emplace(entry.key, entry.line);
@@ -75,15 +76,26 @@
     }
   }
 
-  std::string UnknownKey(const std::string& key) const {
+  std::vector<std::string> Names() const {
     std::vector<std::string> names;
     for (const Field& field : fields_) names.push_back(field.key);
+    return names;
+  }
+
+  // Checks the value too, and keeps the key from being reported as missing.
+  void ReadMisspelt(const IniEntry& entry) {
+    const std::string nearest = NearestName(entry.key, Names());
+    if (nearest.empty() || section_.Has(nearest)) return;
+    ReadEntry({nearest, entry.value, entry.line});
+  }
+
+  std::string UnknownKey(const std::string& key) const {
     if (section_.name == kSecretSection) {
       return "unknown key in " + section_.Header() +
-             "; allowed: " + JoinNames(names);
+             "; allowed: " + JoinNames(Names());
     }
     return "unknown key " + Quote(key) + " in " + section_.Header() +
-           Suggestion(key, names);
+           Suggestion(key, Names());
   }
 
   void CheckPresent(const Field& field) {
@@ -102,13 +114,6 @@
   std::map<std::string, int> first_lines_;
 };
 
-std::vector<std::string> SectionNames(const std::vector<SectionRule>& rules) {
-  std::vector<std::string> names;
-  names.reserve(rules.size());
-  for (const SectionRule& rule : rules) names.push_back(rule.name);
-  return names;
-}
-
 // @return what is wrong with the label of a header; empty if nothing is.
 std::string LabelFault(const IniSection& section, const SectionRule& rule) {
   if (!rule.labelled) {
@@ -123,49 +128,85 @@
   return id ? std::string() : "[" + rule.name + " NAME]: " + id.error();
 }
 
-}  // namespace
+class SectionReader {
+ public:
+  SectionReader(const IniDocument& document,
+                const std::vector<SectionRule>& rules,
+                std::vector<Fault>& faults)
+      : document_(document), rules_(rules), faults_(faults) {
+    for (const SectionRule& rule : rules) names_.push_back(rule.name);
+  }
 
-void ReadFields(const IniSection& section, const std::vector<Field>& fields,
-                const std::string& file, std::vector<Fault>& faults) {
-  FieldReader(section, fields, file, faults).Read();
-}
+  void Read() {
+    for (const IniSection& section : document_.sections) ReadSection(section);
+    for (const SectionRule& rule : rules_) {
+      const bool given = first_lines_.contains("[" + rule.name + "]");
+      if (!rule.labelled && !given) rule.read({rule.name, {}, 0, {}});
+    }
+  }
 
-void ReadSections(const IniDocument& document,
-                  const std::vector<SectionRule>& rules,
-                  std::vector<Fault>& faults) {
-  std::map<std::string, int> first_lines;
-  const auto report = [&](const IniSection& section, std::string message) {
-    AddFault(faults, section.line == 0 ? kCommandLine : document.file,
+ private:
+  void Report(const IniSection& section, std::string message) {
+    AddFault(faults_, section.line == 0 ? kCommandLine : document_.file,
              section.line, std::move(message));
-  };
-  for (const IniSection& section : document.sections) {
+  }
+
+  void ReadSection(const IniSection& section) {
     const auto rule = std::find_if(
-        rules.begin(), rules.end(),
+        rules_.begin(), rules_.end(),
         [&](const SectionRule& r) { return r.name == section.name; });
-    if (rule == rules.end()) {
-      report(section, "unknown section " + Quote(section.Header()) +
-                          Suggestion(section.name, SectionNames(rules)));
-      continue;
+    if (rule == rules_.end()) {
+      Report(section, "unknown section " + Quote(section.Header()) +
+                          Suggestion(section.name, names_));
+      ReadMisspelt(section);
+      return;
     }
     const auto [first, fresh] =
-        first_lines.emplace(section.Header(), section.line);
+        first_lines_.emplace(section.Header(), section.line);
     if (!fresh) {
-      report(section, section.Header() + " is given again, first on line " +
+      Report(section, section.Header() + " is given again, first on line " +
                           std::to_string(first->second) +
                           "; move its keys there");
-      continue;
+      return;
     }
     if (std::string fault = LabelFault(section, *rule); !fault.empty()) {
-      first_lines.emplace("[" + rule->name + "]", section.line);
-      report(section, std::move(fault));
-      continue;
+      first_lines_.emplace("[" + rule->name + "]", section.line);
+      Report(section, std::move(fault));
+      return;
     }
     rule->read(section);
   }
-  for (const SectionRule& rule : rules) {
-    const bool given = first_lines.contains("[" + rule.name + "]");
-    if (!rule.labelled && !given) rule.read({rule.name, {}, 0, {}});
+
+  // Checks the keys too, and keeps the section from being read as missing.
+  void ReadMisspelt(const IniSection& section) {
+    IniSection corrected = section;
+    corrected.name = NearestName(section.name, names_);
+    if (corrected.name.empty()) return;
+    const std::string header = corrected.Header();
+    const bool given = std::any_of(
+        document_.sections.begin(), document_.sections.end(),
+        [&](const IniSection& other) { return other.Header() == header; });
+    if (!given) ReadSection(corrected);
   }
+
+  const IniDocument& document_;
+  const std::vector<SectionRule>& rules_;
+  std::vector<Fault>& faults_;
+  std::vector<std::string> names_;
+  std::map<std::string, int> first_lines_;
+};
+
+}  // namespace
+
+void ReadFields(const IniSection& section, const std::vector<Field>& fields,
+                const std::string& file, std::vector<Fault>& faults) {
+  FieldReader(section, fields, file, faults).Read();
+}
+
+void ReadSections(const IniDocument& document,
+                  const std::vector<SectionRule>& rules,
+                  std::vector<Fault>& faults) {
+  SectionReader(document, rules, faults).Read();
 }
 
 }  // namespace gypsumfall
