--- a/bench/load_client.cc
+++ b/bench/load_client.cc
@@ -27,7 +27,7 @@
         timeout_(options.timeout),
         stream_(io) {}
 
-  void Send(const HttpCall& call, Done done) {
+  void Send(const LoadCall& call, Done done) {
     done_ = std::move(done);
     MakeRequest(call);
     stream_.expires_after(timeout_);
@@ -50,7 +50,7 @@
   }
 
  private:
-  void MakeRequest(const HttpCall& call) {
+  void MakeRequest(const LoadCall& call) {
     request_ = {};
     request_.version(11);
     request_.method(call.is_post ? http::verb::post : http::verb::get);
@@ -145,7 +145,7 @@
 LoadClient::~LoadClient() = default;
 LoadClient::LoadClient(LoadClient&&) noexcept = default;
 
-void LoadClient::Send(const HttpCall& call, Done done) {
+void LoadClient::Send(const LoadCall& call, Done done) {
   impl_->Send(call, std::move(done));
 }
 
--- a/bench/load_client.h
+++ b/bench/load_client.h
@@ -27,7 +27,7 @@
   LoadClient(LoadClient&&) noexcept;
 
   /// @param done called once, never before Send returns.
-  void Send(const HttpCall& call, Done done);
+  void Send(const LoadCall& call, Done done);
 
  private:
   class Impl;
--- a/bench/load_generator.cc
+++ b/bench/load_generator.cc
@@ -105,7 +105,7 @@
     });
   }
 
-  bool MayStart() const {
+  bool MayStart() {
     return work_.result().calls < options_.count && Now() < end_;
   }
 
@@ -163,7 +163,7 @@
     }
   }
 
-  void SendCall(Slot* slot, const HttpCall& call) {
+  void SendCall(Slot* slot, const LoadCall& call) {
     slot->client->Send(call, [this, slot](const HttpOutcome& outcome) {
       OnOutcome(slot, outcome);
     });
--- a/bench/load_work.cc
+++ b/bench/load_work.cc
@@ -56,7 +56,7 @@
   return payload;
 }
 
-HttpCall LoadWork::Start(const LoadItem& item, std::size_t target,
+LoadCall LoadWork::Start(const LoadItem& item, std::size_t target,
                          Time now) const {
   if (options_.work == WorkMode::kDirect) return StartDirect(item, target, now);
   json::object body;
@@ -72,7 +72,7 @@
           .body = json::serialize(body)};
 }
 
-HttpCall LoadWork::StartDirect(const LoadItem& item, std::size_t target,
+LoadCall LoadWork::StartDirect(const LoadItem& item, std::size_t target,
                                Time now) const {
   const Attached& worker = attached_.at(target);
   RunRequestCall call;
@@ -87,7 +87,7 @@
   return {.is_post = true, .path = "/v1/requests", .body = Encode(call)};
 }
 
-HttpCall LoadWork::AttachCallTo() const {
+LoadCall LoadWork::AttachCallTo() const {
   AttachCall call;
   call.owner = EntryHostId(options_.owner);
   call.epoch = Epoch(options_.epoch);
@@ -222,7 +222,7 @@
     ++result_.tasks_open;
     return std::nullopt;
   }
-  HttpCall call;
+  LoadCall call;
   call.is_post = false;
   call.path = "/v1/tasks/" + IdOf(item) + "?wait_ms=" + std::to_string(kPollMs);
   return NextCall{std::move(call), delay};
--- a/bench/load_work.h
+++ b/bench/load_work.h
@@ -15,7 +15,7 @@
 namespace gypsumfall::load {
 
 /// One HTTP call as the client sends it.
-struct HttpCall {
+struct LoadCall {
   bool is_post = true;
   std::string path;
   std::string body;
@@ -33,7 +33,7 @@
 
 /// The next call of an item.
 struct NextCall {
-  HttpCall call;
+  LoadCall call;
   /// How long to wait before it is sent.
   Duration delay{};
 };
@@ -62,14 +62,14 @@
   explicit LoadWork(const LoadOptions& options);
 
   /// @return the call that starts an item.
-  HttpCall Start(const LoadItem& item, std::size_t target, Time now) const;
+  LoadCall Start(const LoadItem& item, std::size_t target, Time now) const;
   /// Judges the end of a call.
   /// @return the next call of the item, if any.
   std::optional<NextCall> OnOutcome(LoadItem& item, const HttpOutcome& outcome,
                                     Time now);
 
   /// Direct mode: the call that makes this program the owner of a worker.
-  HttpCall AttachCallTo() const;
+  LoadCall AttachCallTo() const;
   /// @return kConflict if the worker refused, kBadRequest if not understood.
   Result<void> OnAttached(std::size_t target, const HttpOutcome& outcome,
                           Time now);
@@ -81,7 +81,7 @@
 
  private:
   std::string PayloadOf(const LoadItem& item) const;
-  HttpCall StartDirect(const LoadItem& item, std::size_t target,
+  LoadCall StartDirect(const LoadItem& item, std::size_t target,
                        Time now) const;
   bool CountTransport(const HttpOutcome& outcome);
   void CheckResult(const LoadItem& item, std::string_view result);
