--- a/testing/interleaving.cc
+++ b/testing/interleaving.cc
@@ -42,7 +42,7 @@
 }
 
 void Interleaving::At(Duration after, Body body) {
-  pending_.push({now_ + after, ++order_, std::move(body)});
+  pending_.emplace(std::pair(now_ + after, ++order_), std::move(body));
 }
 
 void Interleaving::ToOwner(Owner& owner, Duration after, Body body) {
@@ -57,12 +57,11 @@
 }
 
 void Interleaving::RunUntil(Time end) {
-  while (!pending_.empty() && pending_.top().at <= end) {
-    const Pending next = pending_.top();
-    pending_.pop();
-    now_ = next.at;
+  while (!pending_.empty() && pending_.begin()->first.first <= end) {
+    const auto next = pending_.extract(pending_.begin());
+    now_ = next.key().first;
     for (auto& [id, worker] : workers_) worker.AdvanceTo(now_);
-    next.body();
+    next.mapped()();
   }
   now_ = end;
   for (auto& [id, worker] : workers_) worker.AdvanceTo(now_);
--- a/testing/interleaving.h
+++ b/testing/interleaving.h
@@ -15,10 +15,10 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gypsumfall/journal/journal.h"
@@ -81,14 +81,6 @@
     std::unique_ptr<TaskTable> table;
   };
   using Body = std::function<void()>;
-  struct Pending {
-    Time at;
-    std::uint64_t order;
-    Body body;
-    bool operator>(const Pending& other) const {
-      return std::tie(at, order) > std::tie(other.at, other.order);
-    }
-  };
 
   // interleaving.cc
   std::uint64_t Draw(std::uint64_t below) { return random_() % below; }
@@ -132,7 +124,8 @@
   Time now_ = Time(seconds(100));
   Time store_down_until_;
   std::uint64_t order_ = 0;
-  std::priority_queue<Pending, std::vector<Pending>, std::greater<>> pending_;
+  // What is to happen, by time and then in the order of scheduling.
+  std::map<std::pair<Time, std::uint64_t>, Body> pending_;
   std::vector<Event> history_;
   FakeTable store_;
   std::map<WorkerId, FakeWorker> workers_;
