--- a/gypsumfall/fleet/fleet_state.cc
+++ b/gypsumfall/fleet/fleet_state.cc
@@ -37,7 +37,7 @@
     if (!workers_[index].listed) Reindex(index);
   }
   UpdateShapes();
-  RefreshWanted(now);
+  ChooseOwners(now);
   return {};
 }
 
@@ -50,34 +50,39 @@
 
 void FleetState::SetHosts(FleetHosts hosts, Time now) {
   hosts_ = std::move(hosts);
-  RefreshWanted(now);
-}
-
-bool FleetState::HeldByPresent(const RackId& rack) const {
-  return std::any_of(hosts_.present.begin(), hosts_.present.end(),
-                     [&](const PresentHost& host) {
-                       return std::find(host.racks.begin(), host.racks.end(),
-                                        rack) != host.racks.end();
-                     });
+  held_racks_.clear();
+  for (const PresentHost& host : hosts_.present) {
+    held_racks_.insert(host.racks.begin(), host.racks.end());
+  }
+  ChooseOwners(now);
 }
 
 // The preferred host owns the rack; the second choice does if nobody has owned
 // it for long, because the preferred one may not reach its workers.
-bool FleetState::ShouldOwn(const RackId& id, RackRecord& rack, Time now) {
-  const auto preferred =
-      ChooseWorkerOwner(id, rack.data_centre, hosts_.preferred);
-  rack.preferred = preferred.value_or(EntryHostId());
-  if (preferred == settings_.self) return true;
-  if (HeldByPresent(id)) {
+bool FleetState::ShouldOwn(const RackId& id, RackRecord& rack, Time now) const {
+  if (rack.preferred == settings_.self) return true;
+  if (held_racks_.contains(id)) {
     rack.unowned_since.reset();
     return false;
   }
   if (!rack.unowned_since) rack.unowned_since = now;
-  if (now < *rack.unowned_since + settings_.unowned_limit) return false;
-  std::vector<LiveHost> others = hosts_.preferred;
-  std::erase_if(
-      others, [&](const LiveHost& host) { return host.id == rack.preferred; });
-  return ChooseWorkerOwner(id, rack.data_centre, others) == settings_.self;
+  return now >= *rack.unowned_since + settings_.unowned_limit &&
+         rack.second == settings_.self;
+}
+
+// Hashes all hosts for each rack, so it runs only after a change of either.
+void FleetState::ChooseOwners(Time now) {
+  for (auto& [id, rack] : racks_) {
+    std::vector<LiveHost> hosts = hosts_.preferred;
+    rack.preferred =
+        ChooseWorkerOwner(id, rack.data_centre, hosts).value_or(EntryHostId());
+    std::erase_if(hosts, [&rack = rack](const LiveHost& host) {
+      return host.id == rack.preferred;
+    });
+    rack.second =
+        ChooseWorkerOwner(id, rack.data_centre, hosts).value_or(EntryHostId());
+  }
+  RefreshWanted(now);
 }
 
 void FleetState::RefreshWanted(Time now) {
--- a/gypsumfall/fleet/fleet_test.cc
+++ b/gypsumfall/fleet/fleet_test.cc
@@ -510,6 +510,21 @@
   CHECK(rig.Place(1, accelerated)->rack == RackId("r0"));
 }
 
+// Guards against all work going to the worker whose report is the oldest, and
+// against reported use that the placement ignores.
+TEST_CASE("load counts reports and the decisions since") {
+  Rig rig("a", 2);
+  rig.Run(seconds(2));
+  rig.workers[0].cpu_in_use = MilliCores(6000);
+  rig.workers[1].cpu_in_use = MilliCores(12000);
+  rig.Run(seconds(2));
+  // The second one finds 10 cores on worker 0, of which 4 are not reported yet.
+  CHECK(rig.Place(1, MakeWork(4000))->worker == WorkerId("w0"));
+  CHECK(rig.Place(2, MakeWork(4000))->worker == WorkerId("w1"));
+  rig.Run(seconds(2));
+  CHECK(rig.Place(3, MakeWork(4000))->worker == WorkerId("w0"));
+}
+
 struct FitRow {
   Resources asked;
   const char* limit;
--- a/gypsumfall/fleet/internal/fleet_state.h
+++ b/gypsumfall/fleet/internal/fleet_state.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "gypsumfall/base/base.h"
@@ -142,8 +143,8 @@
   // Ownership (fleet_state.cc).
   void AddToRack(WorkerIndex index);
   void RefreshWanted(Time now);
-  bool HeldByPresent(const RackId& rack) const;
-  bool ShouldOwn(const RackId& rack, RackRecord& record, Time now);
+  void ChooseOwners(Time now);
+  bool ShouldOwn(const RackId& id, RackRecord& rack, Time now) const;
   void StepAttach(WorkerIndex index, Time now, FleetActions& out);
   bool WaitForOwner(WorkerRecord& worker, Time now, FleetActions& out);
   void BackOff(WorkerRecord& worker, Time now) const;
@@ -197,6 +198,8 @@
 
   FleetSettings settings_;
   FleetHosts hosts_;
+  /// Racks that present hosts list as theirs.
+  std::unordered_set<RackId> held_racks_;
   bool stopping_ = false;
   std::vector<WorkerRecord> workers_;
   std::vector<PlacementView> views_;
--- a/gypsumfall/fleet/internal/worker_record.h
+++ b/gypsumfall/fleet/internal/worker_record.h
@@ -63,6 +63,8 @@
   DataCentreId data_centre;
   std::vector<std::uint32_t> workers;
   EntryHostId preferred;
+  /// The choice without the preferred host.
+  EntryHostId second;
   Time next_release_ask;
   /// Since when no present host says that it owns the rack.
   std::optional<Time> unowned_since;
--- a/gypsumfall/fleet/worker_test_double.h
+++ b/gypsumfall/fleet/worker_test_double.h
@@ -52,6 +52,8 @@
     reply.clock = Clock(now);
     reply.leaving = leaving_since.has_value();
     if (reply.refused) return reply;
+    const Resources use{cpu_in_use, {}, {}};
+    reply.usage.push_back({KindId("k"), use, Clock(now), 1000});
     for (const AttemptId& id : call.acknowledged) {
       const auto held = attempts.find(id);
       if (held != attempts.end() &&
@@ -136,6 +138,8 @@
   std::optional<Time> leaving_since;
   std::map<ExchangeId, Resources> exchanges;
   std::map<AttemptId, AttemptReport> attempts;
+  /// What the worker reports as its use.
+  MilliCores cpu_in_use;
   /// What went wrong first; empty if nothing did.
   std::string violation;
 
--- a/gypsumfall/ownership/ownership_test.cc
+++ b/gypsumfall/ownership/ownership_test.cc
@@ -259,6 +259,29 @@
   CHECK_FALSE(world.lapse_seen);
 }
 
+// Guards against a takeover that gives up, or puts an old epoch, because a row
+// has changed since it was read.
+TEST_CASE("a takeover with a failed check is repeated with the row as it is") {
+  World world(3);
+  world.Run(seconds(15));
+  TestHost& dead = world.hosts[0];
+  dead.paused = true;
+  const PartitionId id = dead.owned.begin()->first;
+  std::uint64_t epoch = 50;
+  for (int i = 0; i < 120; ++i) {
+    world.Run(milliseconds(100));
+    const Row row = world.table.Find(PartitionRowKey(id));
+    if (DecodePartitionRow(row.value)->owner != dead.id) break;
+    const PartitionRow put{dead.id, dead.lease.incarnation(), Epoch(++epoch)};
+    world.table.Transact({"", {}, {{row.key, EncodePartitionRow(put)}}, {}});
+  }
+  world.Run(seconds(10));
+  world.CheckAllOwnedOnce();
+  CHECK(epoch > 100);
+  const Row row = world.table.Find(PartitionRowKey(id));
+  CHECK(DecodePartitionRow(row.value)->epoch > Epoch(epoch));
+}
+
 // Guards against a journal that goes on writing after a lost partition, and
 // against a late commit that is not noticed.
 TEST_CASE("a foreign version of an owned row ends ownership") {
