--- a/gypsumfall/entry/task_partition.cc
+++ b/gypsumfall/entry/task_partition.cc
@@ -9,6 +9,9 @@
 namespace gypsumfall {
 namespace {
 
+// With a commit unresolved for longer the table service is taken to be out of
+// reach: submissions are refused at once instead of waiting in the journal.
+constexpr Duration kStalledAfter = seconds(3);
 // A hand-over does not wait longer for the last commit; the next owner then
 // finds its outcome in the journal.
 constexpr Duration kLongestQuiesce = seconds(3);
@@ -37,6 +40,10 @@
     return;
   }
   const Time now = context_.Now();
+  if (journal_->Stalled(now, kStalledAfter)) {
+    done(Fail(ErrorKind::kStoreUnavailable, "nothing was stored"));
+    return;
+  }
   TaskDecision decision =
       table_->Submit(key, spec, std::move(payload), limits, now);
   const bool must_wait =
--- a/gypsumfall/entry/task_partition_recovery.cc
+++ b/gypsumfall/entry/task_partition_recovery.cc
@@ -114,7 +114,8 @@
   journal.part_version = options_.row_version;
   journal.token_prefix = context_.self().str() + "/" +
                          std::to_string(options_.incarnation.value()) + "/" +
-                         std::to_string(options_.number);
+                         std::to_string(options_.number) + "/" +
+                         std::to_string(options_.epoch.value());
   journal.seed = StableHash(journal.token_prefix);
   journal_ = std::make_unique<Journal>(journal, recovered->position, budget_);
   table_ = std::move(table);
--- a/gypsumfall/fleet/internal/fleet_state.h
+++ b/gypsumfall/fleet/internal/fleet_state.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "gypsumfall/base/base.h"
@@ -118,6 +119,21 @@
     Time lapses_at;
     AttemptId attempt;
   };
+  /// What a placement decision reads of one worker, apart from the record, so
+  /// that candidates of a large fleet stay in the processor's caches.
+  struct PlacementView {
+    Resources capacity;
+    Resources committed;
+    MilliCores load;
+    int slots = 0;
+    int request_slots = 0;
+    int attempt_slots = 0;
+    /// From then on the worker gets no new work.
+    Time receives_until;
+  };
+  struct AttemptHash {
+    std::size_t operator()(const AttemptId& id) const noexcept;
+  };
   /// A capacity that hosts of the list have, with a few of them.
   struct Shape {
     Resources capacity;
@@ -127,8 +143,8 @@
   // Ownership (fleet_state.cc).
   void AddToRack(WorkerIndex index);
   void RefreshWanted(Time now);
-  bool HeldByPresent(const RackId& rack) const;
-  bool ShouldOwn(const RackId& rack, RackRecord& record, Time now);
+  void ChooseOwners(Time now);
+  bool ShouldOwn(const RackId& id, RackRecord& rack, Time now) const;
   void StepAttach(WorkerIndex index, Time now, FleetActions& out);
   bool WaitForOwner(WorkerRecord& worker, Time now, FleetActions& out);
   void BackOff(WorkerRecord& worker, Time now) const;
@@ -163,8 +179,9 @@
 
   // Work (fleet_work.cc).
   bool MayReceive(const WorkerRecord& worker, Time now) const;
-  bool Fits(const WorkerRecord& worker, const Work& work, bool urgent,
+  bool Fits(WorkerIndex index, const Work& work, bool urgent,
             const Avoid& avoid, Time now) const;
+  Time ReceivesUntil(const WorkerRecord& worker) const;
   WorkerIndex DueProbe(const Work& work, bool urgent, const Avoid& avoid,
                        Time now) const;
   static WorkerTime ClockOf(const WorkerRecord& worker, Time now);
@@ -181,11 +198,14 @@
 
   FleetSettings settings_;
   FleetHosts hosts_;
+  /// Racks that present hosts list as theirs.
+  std::unordered_set<RackId> held_racks_;
   bool stopping_ = false;
   std::vector<WorkerRecord> workers_;
+  std::vector<PlacementView> views_;
   std::unordered_map<WorkerId, WorkerIndex> by_id_;
   std::map<RackId, RackRecord> racks_;
-  std::map<AttemptId, WorkerIndex> attempts_;
+  std::unordered_map<AttemptId, WorkerIndex, AttemptHash> attempts_;
   std::deque<Reservation> reservations_;
   std::vector<WorkerIndex> unhealthy_;
   std::vector<Shape> shapes_;
