--- a/bench/load_test.cc
+++ b/bench/load_test.cc
@@ -185,7 +185,7 @@
 // and the connections.
 TEST_CASE("every call of a run is made and counted once") {
   const auto loop = GENERATE(LoopMode::kOpen, LoopMode::kClosed);
-  FakeHost host([](HttpRequest request, Responder respond) {
+  FakeHost host([](const HttpRequest& request, Responder respond) {
     const auto call = boost::json::parse(request.body).as_object();
     respond({.body = boost::json::serialize(boost::json::object{
                  {"id", call.at("id")},
