--- a/gypsumfall/requests/interleaving_test.cc
+++ b/gypsumfall/requests/interleaving_test.cc
@@ -25,8 +25,8 @@
   std::map<ExchangeId, ExchangeState> exchanges;
 };
 
-/// One entry host, three workers and their messages, which are lost, delayed,
-/// duplicated and reordered.
+/// One entry host, three workers, a peer and their messages, which are lost,
+/// delayed, duplicated and reordered.
 class World {
  public:
   World(std::uint64_t seed, Broken broken)
@@ -108,6 +108,13 @@
     }
   }
   void Do(const Place& place) {
+    if (place.may_forward && Chance(20)) {
+      const ExchangeId id = ids_.Next();
+      const bool forwarded =
+          table_.OnForwarded(place.key, EntryHostId("p"), id, now_);
+      if (forwarded) Forward(id, place.key);
+      if (forwarded) return;
+    }
     for (int tries = 0; tries < 4 && !Chance(10); ++tries) {
       const WorkerId worker("w" + std::to_string(Upto(2)));
       const auto& out = place.exclude;
@@ -158,7 +165,14 @@
       Reply(cancel.worker, cancel.exchange, at->second, true);
     });
   }
-  void Do(const ResolveForward&) {}
+  void Do(const ResolveForward& resolve) {
+    At(Upto(30), [this, id = resolve.exchange] {
+      const CallerAnswer unknown{
+          WasRun::kUnknown, ErrorKind::kNotFound, {}, {}};
+      const auto known = peer_.find(id);
+      PeerAnswers(id, known == peer_.end() ? unknown : known->second);
+    });
+  }
   void Do(const ReleaseRoom& release) {
     Check(room_.erase(release.exchange) == 1, "room released twice");
   }
@@ -205,6 +219,42 @@
     }
   }
 
+  // The peer refuses or runs what reaches it, also after it was asked for the
+  // outcome and did not know the request.
+  void Forward(const ExchangeId& id, RequestKey key) {
+    if (Chance(25)) {
+      const auto kind = Chance(40) ? ForwardOutcome::Kind::kNotSent
+                                   : ForwardOutcome::Kind::kLost;
+      At(Upto(60), [this, id, kind] {
+        Do(table_.OnForwardOutcome(id, {kind, {}}, now_));
+      });
+      if (kind == ForwardOutcome::Kind::kNotSent) return;
+    }
+    if (Chance(15)) return;
+    At(Upto(150), [this, id, key] {
+      if (Chance(20)) {
+        peer_[id] = {WasRun::kNo, ErrorKind::kNoCapacity, {}, {}};
+        return PeerAnswers(id, peer_[id]);
+      }
+      ++runs_of_key_[key];
+      ++runs_[begun_[key]];
+      peer_[id] = {WasRun::kUnknown, ErrorKind::kOutcomeUnknown, {}, {}};
+      At(Upto(80), [this, id, key] {
+        peer_[id] = {WasRun::kYes, std::nullopt, {}, begun_[key]};
+        PeerAnswers(id, peer_[id]);
+      });
+    });
+  }
+
+  void PeerAnswers(const ExchangeId& id, const CallerAnswer& answer) {
+    for (int copies = Chance(10) ? 2 : 1; copies > 0 && !Chance(15); --copies) {
+      At(Upto(120), [this, id, answer] {
+        Do(table_.OnForwardOutcome(
+            id, {ForwardOutcome::Kind::kAnswered, answer}, now_));
+      });
+    }
+  }
+
   void Restart(const WorkerId& id) {
     ++workers_[id].incarnation;
     workers_[id].exchanges.clear();
@@ -223,6 +273,8 @@
   std::map<WorkerId, FakeWorker> workers_;
   /// Restarts that the host has noticed.
   std::map<WorkerId, std::uint64_t> known_incarnation_;
+  /// What the peer knows of forwarded requests.
+  std::map<ExchangeId, CallerAnswer> peer_;
   std::map<RequestKey, std::string> begun_;
   std::map<ExchangeId, RequestKey> sent_;
   std::map<WorkerId, std::vector<ExchangeId>> in_order_;
