--- a/gypsumfall/platform/clients.cc
+++ b/gypsumfall/platform/clients.cc
@@ -18,9 +18,9 @@
 constexpr char kObjectsPath[] = "/v1/objects/";
 
 template <typename Reply>
-PlatformResult<Reply> WithoutReply(RawResult raw) {
+PlatformResult<Reply> WithoutReply(const RawResult& raw) {
   return {.certainly_not_applied = raw.certainly_not_applied,
-          .detail = std::move(raw.detail)};
+          .detail = raw.detail};
 }
 
 // Decodes the reply. A reply that can not be decoded says nothing about the
@@ -29,7 +29,7 @@
 RawDone Decoding(PlatformDone<Reply> done) {
   return [done = std::move(done)](RawResult raw) mutable {
     if (raw.status != kOk) {
-      done(WithoutReply<Reply>(std::move(raw)));
+      done(WithoutReply<Reply>(raw));
       return;
     }
     Result<Reply> reply = Decode<Reply>(raw.body);
@@ -42,11 +42,11 @@
 }
 
 RawDone Confirming(PlatformDone<bool> done) {
-  return [done = std::move(done)](RawResult raw) mutable {
+  return [done = std::move(done)](const RawResult& raw) mutable {
     if (raw.status == kOk) {
       done({.reply = true});
     } else {
-      done(WithoutReply<bool>(std::move(raw)));
+      done(WithoutReply<bool>(raw));
     }
   };
 }
@@ -102,7 +102,7 @@
                   } else if (raw.status == kNotFound) {
                     done({.reply = std::optional<Object>(std::in_place)});
                   } else {
-                    done(WithoutReply<Object>(std::move(raw)));
+                    done(WithoutReply<Object>(raw));
                   }
                 });
 }
--- a/standins/internal/platform_service.h
+++ b/standins/internal/platform_service.h
@@ -41,17 +41,17 @@
   HostListModel& hosts() { return hosts_; }
 
  private:
-  using Route = void (PlatformService::*)(HttpRequest, Responder);
+  using Route = void (PlatformService::*)(const HttpRequest&, Responder);
 
-  void Handle(HttpRequest request, Responder respond);
-  void Transact(HttpRequest request, Responder respond);
-  void Read(HttpRequest request, Responder respond);
-  void Scan(HttpRequest request, Responder respond);
-  void Hosts(HttpRequest request, Responder respond);
-  void Object(HttpRequest request, Responder respond);
-  void SetHosts(HttpRequest request, Responder respond);
-  void SetFaults(HttpRequest request, Responder respond);
-  void Stats(HttpRequest request, Responder respond);
+  void Handle(const HttpRequest& request, Responder respond);
+  void Transact(const HttpRequest& request, Responder respond);
+  void Read(const HttpRequest& request, Responder respond);
+  void Scan(const HttpRequest& request, Responder respond);
+  void Hosts(const HttpRequest& request, Responder respond);
+  void Object(const HttpRequest& request, Responder respond);
+  void SetHosts(const HttpRequest& request, Responder respond);
+  void SetFaults(const HttpRequest& request, Responder respond);
+  void Stats(const HttpRequest& request, Responder respond);
   template <typename Reply, typename Body>
   void Give(const Answer<Reply>& answer, Responder respond, Body body);
   void GiveLater(Duration delay, HttpResponse response, Responder respond);
--- a/standins/platform_service.cc
+++ b/standins/platform_service.cc
@@ -27,15 +27,15 @@
       objects_(FaultRules(options.seed + 1)),
       hosts_(options.host_list_lag, FaultRules(options.seed + 2)),
       server_(io, {.listen = options.listen, .max_body = kMaxBody},
-              [this](HttpRequest request, Responder respond) {
-                Handle(std::move(request), std::move(respond));
+              [this](const HttpRequest& request, Responder respond) {
+                Handle(request, std::move(respond));
               }) {}
 
 PlatformService::~PlatformService() = default;
 
 Result<std::string> PlatformService::Start() { return server_.Start(); }
 
-void PlatformService::Handle(HttpRequest request, Responder respond) {
+void PlatformService::Handle(const HttpRequest& request, Responder respond) {
   static const std::unordered_map<std::string_view, Route> routes = {
       {"/v1/transact", &PlatformService::Transact},
       {"/v1/read", &PlatformService::Read},
@@ -46,9 +46,9 @@
       {"/faults", &PlatformService::SetFaults}};
   const auto route = routes.find(request.path);
   if (route != routes.end()) {
-    (this->*route->second)(std::move(request), std::move(respond));
+    (this->*route->second)(request, std::move(respond));
   } else if (request.path.starts_with(kObjectsPath)) {
-    Object(std::move(request), std::move(respond));
+    Object(request, std::move(respond));
   } else {
     respond(ErrorResponse(ErrorKind::kNotFound, request.path));
   }
@@ -78,43 +78,42 @@
           const boost::system::error_code&) mutable { respond(response); });
 }
 
-void PlatformService::Transact(HttpRequest request, Responder respond) {
+void PlatformService::Transact(const HttpRequest& request, Responder respond) {
   const auto call = Decode<TransactCall>(request.body);
   if (!call) return respond(ErrorResponse(call.error()));
   Give(table_.Transact(*call, Now()), std::move(respond),
        [](const TransactReply& reply) { return Ok(Encode(reply)); });
 }
 
-void PlatformService::Read(HttpRequest request, Responder respond) {
+void PlatformService::Read(const HttpRequest& request, Responder respond) {
   const auto call = Decode<ReadCall>(request.body);
   if (!call) return respond(ErrorResponse(call.error()));
   Give(table_.Read(*call, Now()), std::move(respond),
        [](const RowsReply& reply) { return Ok(Encode(reply)); });
 }
 
-void PlatformService::Scan(HttpRequest request, Responder respond) {
+void PlatformService::Scan(const HttpRequest& request, Responder respond) {
   const auto call = Decode<ScanCall>(request.body);
   if (!call) return respond(ErrorResponse(call.error()));
   Give(table_.Scan(*call, Now()), std::move(respond),
        [](const RowsReply& reply) { return Ok(Encode(reply)); });
 }
 
-void PlatformService::Hosts(HttpRequest /*request*/, Responder respond) {
+void PlatformService::Hosts(const HttpRequest& /*request*/, Responder respond) {
   Give(hosts_.View(Now()), std::move(respond),
        [](const HostListReply& reply) { return Ok(Encode(reply)); });
 }
 
-void PlatformService::Object(HttpRequest request, Responder respond) {
-  const auto name =
-      PercentDecode(std::string_view(request.path).substr(kObjectsPath.size()));
+void PlatformService::Object(const HttpRequest& request, Responder respond) {
+  const std::string encoded = request.path.substr(kObjectsPath.size());
+  const auto name = PercentDecode(encoded);
   if (!name || name->empty()) {
     return respond(ErrorResponse(ErrorKind::kBadRequest, "object name"));
   }
   const auto ok = [](bool) { return Ok("{}"); };
   switch (request.method) {
     case HttpMethod::kPut:
-      return Give(objects_.Put(*name, std::move(request.body)),
-                  std::move(respond), ok);
+      return Give(objects_.Put(*name, request.body), std::move(respond), ok);
     case HttpMethod::kDelete:
       return Give(objects_.Delete(*name), std::move(respond), ok);
     case HttpMethod::kGet:
@@ -132,14 +131,14 @@
   }
 }
 
-void PlatformService::SetHosts(HttpRequest request, Responder respond) {
+void PlatformService::SetHosts(const HttpRequest& request, Responder respond) {
   const auto list = Decode<HostListReply>(request.body);
   if (!list) return respond(ErrorResponse(list.error()));
   for (const ListedHost& host : list->hosts) hosts_.Set(host, Now());
   respond(Ok("{}"));
 }
 
-void PlatformService::SetFaults(HttpRequest request, Responder respond) {
+void PlatformService::SetFaults(const HttpRequest& request, Responder respond) {
   if (request.method == HttpMethod::kDelete) {
     table_.faults().Clear();
     objects_.faults().Clear();
@@ -165,7 +164,7 @@
   respond(Ok("{}"));
 }
 
-void PlatformService::Stats(HttpRequest /*request*/, Responder respond) {
+void PlatformService::Stats(const HttpRequest& /*request*/, Responder respond) {
   respond(Ok("{\"rows\":" + std::to_string(table_.rows().size()) +
              ",\"rows_written\":" + std::to_string(table_.rows_written()) +
              ",\"keys_read\":" + std::to_string(table_.keys_read()) +
--- a/standins/worker_fleet.cc
+++ b/standins/worker_fleet.cc
@@ -42,7 +42,7 @@
     auto worker = std::make_unique<WorkerService>(
         io_, WorkerModel(WorkerId(WorkerName(index)), options_.worker),
         options_.ip + ":" + std::to_string(port), options_.key, log_);
-    const Result<std::string> address = worker->Start();
+    Result<std::string> address = worker->Start();
     if (!address) return address;
     hosts_.hosts.push_back(HostOf(index, *address));
     workers_.push_back(std::move(worker));
