Do not take a peer's look-up as proof that a forwarded request was not run

Cause: a look-up goes by customer and id, so the peer may answer with an earlier call of this id that was not run, while the forwarded call is still on its way. Change: ForwardOutcome has kResolved for answers to ResolveForward; its "not run" leaves the outcome unknown.

--- a/gypsumfall/requests/exchanges.cc
+++ b/gypsumfall/requests/exchanges.cc
@@ -205,6 +205,11 @@
     case ForwardOutcome::Kind::kAnswered:
       OnForwardAnswer(at, outcome.answer, now);
       return;
+    case ForwardOutcome::Kind::kResolved:
+      if (outcome.answer.was_run != WasRun::kNo) {
+        OnForwardAnswer(at, outcome.answer, now);
+      }
+      return;
   }
 }
 
--- a/gypsumfall/requests/interleaving_test.cc
+++ b/gypsumfall/requests/interleaving_test.cc
@@ -170,7 +170,13 @@
       const CallerAnswer unknown{
           WasRun::kUnknown, ErrorKind::kNotFound, {}, {}};
       const auto known = peer_.find(id);
-      PeerAnswers(id, known == peer_.end() ? unknown : known->second);
+      // The peer may remember an earlier call with this id that was not run.
+      const CallerAnswer earlier{WasRun::kNo, ErrorKind::kNoCapacity, {}, {}};
+      PeerAnswers(id,
+                  known != peer_.end() ? known->second
+                  : Chance(50)         ? unknown
+                                       : earlier,
+                  ForwardOutcome::Kind::kResolved);
     });
   }
   void Do(const ReleaseRoom& release) {
@@ -234,23 +240,23 @@
     At(Upto(150), [this, id, key] {
       if (Chance(20)) {
         peer_[id] = {WasRun::kNo, ErrorKind::kNoCapacity, {}, {}};
-        return PeerAnswers(id, peer_[id]);
+        return PeerAnswers(id, peer_[id], ForwardOutcome::Kind::kAnswered);
       }
       ++runs_of_key_[key];
       ++runs_[begun_[key]];
       peer_[id] = {WasRun::kUnknown, ErrorKind::kOutcomeUnknown, {}, {}};
       At(Upto(80), [this, id, key] {
         peer_[id] = {WasRun::kYes, std::nullopt, {}, begun_[key]};
-        PeerAnswers(id, peer_[id]);
+        PeerAnswers(id, peer_[id], ForwardOutcome::Kind::kAnswered);
       });
     });
   }
 
-  void PeerAnswers(const ExchangeId& id, const CallerAnswer& answer) {
+  void PeerAnswers(const ExchangeId& id, const CallerAnswer& answer,
+                   ForwardOutcome::Kind kind) {
     for (int copies = Chance(10) ? 2 : 1; copies > 0 && !Chance(15); --copies) {
-      At(Upto(120), [this, id, answer] {
-        Do(table_.OnForwardOutcome(
-            id, {ForwardOutcome::Kind::kAnswered, answer}, now_));
+      At(Upto(120), [this, id, answer, kind] {
+        Do(table_.OnForwardOutcome(id, {kind, answer}, now_));
       });
     }
   }
--- a/gypsumfall/requests/requests.h
+++ b/gypsumfall/requests/requests.h
@@ -188,8 +188,12 @@
     kNotSent,
     /// The connection broke or timed out after bytes were sent.
     kLost,
-    /// The peer answered; `answer` is its answer, also to ResolveForward.
+    /// The peer answered the forwarded call; `answer` is its answer.
     kAnswered,
+    /// The peer answered ResolveForward. "Not run" then proves nothing: it may
+    /// speak of an earlier call with this id, and the forwarded call may still
+    /// arrive.
+    kResolved,
   };
   Kind kind = Kind::kLost;
   CallerAnswer answer;
--- a/gypsumfall/requests/requests_test.cc
+++ b/gypsumfall/requests/requests_test.cc
@@ -183,6 +183,10 @@
            {"no room either", {Kind::kAnswered, full}, WasRun::kNo, 0},
            {"refused for good", {Kind::kAnswered, never}, WasRun::kNo, 0},
            {"peer does not know", {Kind::kAnswered, lost}, WasRun::kUnknown, 1},
+           {"an earlier call was not run",
+            {Kind::kResolved, full},
+            WasRun::kUnknown,
+            0},
            {"not sent", {Kind::kNotSent, {}}, WasRun::kNo, 0},
            {"lost", {Kind::kLost, {}}, WasRun::kUnknown, 1}}) {
     INFO(row.fault);
