Remember a release that overtakes an answer of the worker

A worker names its last owner even after that owner has released it. The epoch of the release is now remembered.

--- a/gypsumfall/fleet/fleet_answers.cc
+++ b/gypsumfall/fleet/fleet_answers.cc
@@ -37,8 +37,10 @@
   if (other && worker.other_owner != reply.owner) {
     worker.other_since = now;
     worker.other_owner = reply.owner;
+    worker.released_epoch = Epoch();
   }
-  worker.held_by_other = other;
+  // The worker names its last owner even after that one has released it.
+  worker.held_by_other = other && reply.highest_epoch > worker.released_epoch;
   // An owner that is already gone is replaced, but not without the back-off: it
   // may live, and take the worker back.
   if (!OwnerStillHolds(worker, now)) worker.held_by_other = false;
--- a/gypsumfall/fleet/fleet_state.cc
+++ b/gypsumfall/fleet/fleet_state.cc
@@ -287,6 +287,7 @@
     WorkerRecord& worker = workers_[index];
     if (!worker.held_by_other || worker.other_owner != by) continue;
     worker.held_by_other = false;
+    worker.released_epoch = worker.highest_epoch;
     worker.next_attach = now;
   }
 }
--- a/gypsumfall/fleet/fleet_test.cc
+++ b/gypsumfall/fleet/fleet_test.cc
@@ -80,6 +80,10 @@
   }
   void Do(const SendAttach& send) {
     ++attaches;
+    if (hold_attaches) {
+      held_attaches.push_back(send);
+      return;
+    }
     Result<AttachReply> reply = At(send.worker).Attach(send.call, now);
     if (lose_attaches > 0) {
       --lose_attaches;
@@ -124,6 +128,8 @@
   int attaches = 0;
   int lose_attaches = 0;
   bool lose_heartbeats = false;
+  bool hold_attaches = false;
+  std::vector<SendAttach> held_attaches;
   std::vector<EntryHostId> asked;
   std::vector<WorkerLossReason> lost;
   std::vector<AttemptId> never_started;
@@ -179,6 +185,26 @@
   CHECK(worker.owner == rig.self);
 }
 
+// Seed 10865: the worker's answer to an earlier question, which still names the
+// owner, arrived after the owner's release and undid it for 3 s.
+void ReleaseBeforeAnswer(Rig& rig) {
+  WorkerTestDouble& worker = rig.workers[0];
+  const EntryHostId other("b");
+  worker.Attach({other, worker.epoch.Next()}, rig.now);
+  rig.SetPresent({{other, {worker.host.rack}}});
+  rig.Run(seconds(4));
+  rig.hold_attaches = true;
+  rig.Run(seconds(16));
+  REQUIRE_FALSE(rig.held_attaches.empty());
+  const SendAttach question = rig.held_attaches.back();
+  CHECK(question.call.epoch == Epoch());
+  rig.fleet.OnRackReleased(worker.host.rack, other, rig.now);
+  rig.hold_attaches = false;
+  rig.Do(question);
+  rig.Run(2 * kStep);
+  CHECK(worker.owner == rig.self);
+}
+
 void GoneOwnerIsReplaced(Rig& rig) {
   WorkerTestDouble& worker = rig.workers[0];
   const EntryHostId other("b");
@@ -454,6 +480,7 @@
   const FaultRow rows[] = {
       {"paused owner", PausedOwner},
       {"attach refused: live owner is asked", LiveOwnerIsAsked},
+      {"release before the worker's answer", ReleaseBeforeAnswer},
       {"gone owner is replaced", GoneOwnerIsReplaced},
       {"two hosts that both want a worker", TwoOwners},
       {"lost attach reply", LostAttachReply},
--- a/gypsumfall/fleet/internal/worker_record.h
+++ b/gypsumfall/fleet/internal/worker_record.h
@@ -28,6 +28,8 @@
   /// Not to be attached although wanted, until the owner has released it.
   bool held_by_other = false;
   EntryHostId other_owner;
+  /// The other owner has released the worker up to this epoch.
+  Epoch released_epoch;
   /// When the other owner was learnt from a refusal.
   Time other_since;
   /// The worker has told its highest epoch to this process.
