--- a/gypsumfall/entry/api_service.cc
+++ b/gypsumfall/entry/api_service.cc
@@ -4,6 +4,7 @@
 
 #include "gypsumfall/entry/internal/contract_service.h"
 #include "gypsumfall/entry/internal/membership_service.h"
+#include "gypsumfall/entry/internal/request_service.h"
 
 namespace gypsumfall {
 namespace {
@@ -75,6 +76,10 @@
   if (!contracts->loaded()) {
     return {.status = 503, .body = "{\"health\":\"reading contracts\"}"};
   }
+  auto* requests = context_.kernel.Find<RequestService>(kRequestService);
+  if (context_.Now() < requests->admission().ready_at()) {
+    return {.status = 503, .body = "{\"health\":\"starting\"}"};
+  }
   return {.body = "{\"health\":\"ok\"}"};
 }
 
--- a/gypsumfall/entry/internal/membership_service.h
+++ b/gypsumfall/entry/internal/membership_service.h
@@ -47,6 +47,9 @@
   void Tick();
   void Send(const HeartbeatTarget& target, const LoanReport& wants);
   HeartbeatMessage OwnMessage() const;
+  /// Takes over the racks that the peer was asked for and released.
+  void TakeReleases(const EntryHostId& peer, const std::vector<RackId>& asked,
+                    const std::vector<RackId>& still_owned);
   void Take(const HeartbeatMessage& message);
   void NotifyIfChanged();
 
--- a/gypsumfall/entry/membership_service.cc
+++ b/gypsumfall/entry/membership_service.cc
@@ -59,13 +59,14 @@
     message.release = std::move(asked->second);
     release_.erase(asked);
   }
+  const std::vector<RackId> asked_racks = message.release;
   HttpCall call{.path = "/peer/v1/heartbeat",
                 .bearer = context_.settings.keys.peer_key.Reveal(),
                 .body = Encode(message)};
   const Time asked = context_.Now();
   context_.clients.Call(
       target.address, std::move(call), kHeartbeatTimeout,
-      [this, id = target.id, asked](CallOutcome outcome) {
+      [this, id = target.id, asked, asked_racks](CallOutcome outcome) {
         OnCallOutcome(id, outcome);
         if (outcome.failure || outcome.status != 200) return;
         const Result<HeartbeatMessage> reply =
@@ -75,6 +76,7 @@
           return;
         }
         Take(*reply);
+        TakeReleases(id, asked_racks, reply->heartbeat.sender.owned_racks);
         context_.kernel.Find<RequestService>(kRequestService)
             ->admission()
             .OnLoan(id, reply->grants, asked, context_.Now());
@@ -82,6 +84,17 @@
       });
 }
 
+void MembershipService::TakeReleases(const EntryHostId& peer,
+                                     const std::vector<RackId>& asked,
+                                     const std::vector<RackId>& still_owned) {
+  auto* workers = context_.kernel.Find<WorkerService>(kWorkerService);
+  for (const RackId& rack : asked) {
+    const bool kept = std::find(still_owned.begin(), still_owned.end(), rack) !=
+                      still_owned.end();
+    if (!kept) workers->fleet().OnRackReleased(rack, peer, context_.Now());
+  }
+}
+
 HeartbeatMessage MembershipService::OwnMessage() const {
   auto* ownership = context_.kernel.Find<OwnershipService>(kOwnershipService);
   auto* workers = context_.kernel.Find<WorkerService>(kWorkerService);
--- a/gypsumfall/entry/request_service.cc
+++ b/gypsumfall/entry/request_service.cc
@@ -25,6 +25,14 @@
   return result;
 }
 
+RequestSettings Settings() {
+  RequestSettings settings;
+  // Keeps the whole process under 64 MB when all remembered answers are full.
+  settings.max_remembered = 20'000;
+  settings.max_remembered_bytes = std::size_t{6} << 20U;
+  return settings;
+}
+
 CallerAnswer Refusal(ErrorKind kind, std::string detail) {
   return {.was_run = AnswerFor(kind).was_run,
           .error = kind,
@@ -46,7 +54,7 @@
       admission_(
           AdmissionFrom(context.settings, ProcessIncarnation(context.Now())),
           context.Now()),
-      table_(std::make_unique<RequestTable>(RequestSettings{},
+      table_(std::make_unique<RequestTable>(Settings(),
                                             StableHash(context.self().str()))),
       exchanges_(std::make_unique<ExchangeIdSource>(
           context.self(), ProcessIncarnation(context.Now()))),
@@ -127,7 +135,8 @@
                                      {.kind = request.rule.kind,
                                       .idempotent = request.rule.idempotent,
                                       .resources = request.rule.resources,
-                                      .deadline = request.deadline},
+                                      .deadline = request.deadline,
+                                      .may_forward = !request.from_peer},
                                      content, now);
   if (auto* started = std::get_if<Admitted>(&begun)) {
     Open& open = open_[started->key];
@@ -194,7 +203,7 @@
   if (placed) {
     placed_[exchange] = *placed;
     Perform(table_->OnPlaced(place.key, placed->worker, exchange, now));
-  } else if (place.may_forward && !request.from_peer) {
+  } else if (place.may_forward) {
     Forward(place, request);
   } else {
     table_->OnNotPlaced(place.key, now);
@@ -265,7 +274,8 @@
         if (outcome.certainly_not_sent) {
           result.kind = ForwardOutcome::Kind::kNotSent;
         } else if (answer) {
-          result.kind = ForwardOutcome::Kind::kAnswered;
+          result.kind = resolve_only ? ForwardOutcome::Kind::kResolved
+                                     : ForwardOutcome::Kind::kAnswered;
           result.answer = {.was_run = WasRunFromName(answer->was_run),
                            .detail = std::move(answer->detail),
                            .result = std::move(answer->result)};
@@ -293,7 +303,8 @@
   const KindRule* rule =
       contract == nullptr ? nullptr : contract->FindKind(request.kind);
   if (rule == nullptr || !rule->idempotent) {
-    done(Refusal(ErrorKind::kUnknownKind, "this host has no such kind"));
+    // The contract may be newer at the sender: it keeps the request.
+    done(Refusal(ErrorKind::kNoCapacity, "the kind is not known here yet"));
     return;
   }
   Run({.customer = request.customer,
--- a/standins/internal/worker_model.h
+++ b/standins/internal/worker_model.h
@@ -134,6 +134,8 @@
     Duration next_checkpoint = Duration::max();
     std::int64_t slowdown_permille = 1000;
     std::string checkpoint;
+    /// Echoed in the result, so that callers can match answers.
+    std::string payload;
     Epoch task_epoch;
     Time lease_end = Time::max();
   };
--- a/standins/worker_model.cc
+++ b/standins/worker_model.cc
@@ -121,6 +121,7 @@
   if (reply.refused) return reply;
   Work work;
   work.exchange = call.exchange;
+  work.payload = call.payload;
   work.kind = call.kind;
   work.resources = call.resources;
   work.total = BehaviourOf(call.kind).run_time;
@@ -180,6 +181,7 @@
   const KindBehaviour& behaviour = BehaviourOf(call.kind);
   Work work;
   work.attempt = call.id;
+  work.payload = call.payload;
   work.kind = call.kind;
   work.resources = call.resources;
   work.total = behaviour.run_time;
--- a/standins/worker_run.cc
+++ b/standins/worker_run.cc
@@ -149,7 +149,8 @@
   AttemptReport report = ReportOf(work);
   report.state = state;
   if (state == AttemptState::kFinished) {
-    report.result = "result of " + work.attempt->task.str();
+    report.result =
+        "result of " + work.attempt->task.str() + " " + work.payload;
   } else if (state == AttemptState::kFailed) {
     report.result = "failed";
   }
@@ -163,9 +164,10 @@
 void WorkerModel::EndExchange(const Work& work, Time at) {
   ++requests_ended_;
   const bool fails = faults_.fail_everything || BehaviourOf(work.kind).fails;
-  RequestReply reply{.exchange = *work.exchange,
-                     .refused = {},
-                     .result = "result of " + work.exchange->str()};
+  RequestReply reply{
+      .exchange = *work.exchange,
+      .refused = {},
+      .result = "result of " + work.exchange->str() + " " + work.payload};
   reply.state = fails ? ExchangeState::kFailed : ExchangeState::kFinished;
   if (fails) reply.result = "failed";
   exchanges_[*work.exchange] = {reply, at};
