--- a/bench/lab.py
+++ b/bench/lab.py
@@ -187,7 +187,8 @@
 
 
 def stops(arguments):
-    """Stops and restarts each entry host in turn under load."""
+    """Stops and restarts each entry host in turn under load. With --kill 1 the
+    hosts are killed instead, which must show as calls that are cut off."""
     deployment = Deployment(7, 65)
     try:
         deployment.put_contract()
@@ -199,14 +200,14 @@
         while time.time() < end:
             host = done % 7 + 1
             pid = deployment.pid(f"entry-{host}")
-            os.kill(pid, signal.SIGTERM)
+            os.kill(pid, signal.SIGKILL if arguments.kill else signal.SIGTERM)
             while os.path.exists(f"/proc/{pid}"):
                 time.sleep(0.05)
             deployment.cluster("start-entry", deployment.folder, str(host))
             deployment.await_healthy(host)
             done += 1
         result = json.loads(load.communicate()[0])
-        report(measure="planned stops", stops=done, calls=result["calls"],
+        report(measure="kills" if arguments.kill else "planned stops", stops=done, calls=result["calls"],
                answered=result["answered"], cut_off=result["cut_off"],
                cut_off_on_reuse=result["cut_off_on_reuse"], not_sent=result["not_sent"],
                mismatched=result["mismatched"], errors=result["by_error"],
@@ -409,7 +410,7 @@
     commands = parser.add_subparsers(required=True)
     for function, options in (
             (idle, {"seconds": 10}), (throughput, {"seconds": 8, "rate": 4000}),
-            (stops, {"seconds": 120, "rate": 600}), (contracts, {"count": 60}),
+            (stops, {"seconds": 120, "rate": 600, "kill": 0}), (contracts, {"count": 60}),
             (tasks, {"count": 900, "background": 3.5}), (soak, {"seconds": 120, "seed": 1})):
         command = commands.add_parser(function.__name__, help=function.__doc__)
         for name, default in options.items():
--- a/gypsumfall/fleet/fleet_interleaving_test.cc
+++ b/gypsumfall/fleet/fleet_interleaving_test.cc
@@ -19,7 +19,12 @@
 namespace gypsumfall {
 namespace {
 
-enum class Fault { kNone, kNoEpochCheck, kRoomFreedOnTimeout };
+enum class Fault {
+  kNone,
+  kNoEpochCheck,
+  kRoomFreedOnTimeout,
+  kLeavingNotTold,
+};
 
 const DataCentreId& Place() {
   static const DataCentreId place("d");
@@ -122,8 +127,9 @@
     host.data_centre = Place();
     host.capacity = {MilliCores(8000), MebiBytes(16000),
                      Accelerators(number % 2)};
-    workers_.emplace_back(host, Between(0, 1000000)).checks_epoch =
-        fault_ != Fault::kNoEpochCheck;
+    WorkerTestDouble& worker = workers_.emplace_back(host, Between(0, 1000000));
+    worker.checks_epoch = fault_ != Fault::kNoEpochCheck;
+    worker.tells_leaving = fault_ != Fault::kLeavingNotTold;
   }
   void Start(EntryHost& host) {
     host.incarnation = host.incarnation.Next();
@@ -482,7 +488,8 @@
 
 // Guards against checks that could not see a violation.
 TEST_CASE("the checks catch broken variants") {
-  for (const Fault fault : {Fault::kNoEpochCheck, Fault::kRoomFreedOnTimeout}) {
+  for (const Fault fault : {Fault::kNoEpochCheck, Fault::kRoomFreedOnTimeout,
+                            Fault::kLeavingNotTold}) {
     int caught = 0;
     for (std::uint64_t seed = 1; seed <= 30; ++seed) {
       if (World(seed, fault).Run().starts_with("violation")) ++caught;
--- a/gypsumfall/fleet/worker_test_double.h
+++ b/gypsumfall/fleet/worker_test_double.h
@@ -38,7 +38,7 @@
     reply.capacity = host.capacity;
     reply.slots = kSlots;
     reply.connections = kConnections;
-    reply.leaving = leaving_since.has_value();
+    reply.leaving = leaving_since && tells_leaving;
     for (const auto& [id, report] : attempts) reply.attempts.push_back(report);
     for (const auto& [id, resources] : exchanges) {
       reply.exchanges.push_back({id, resources});
@@ -50,7 +50,7 @@
     reply.refused = Refuse(call.header, now);
     reply.incarnation = incarnation;
     reply.clock = Clock(now);
-    reply.leaving = leaving_since.has_value();
+    reply.leaving = leaving_since && tells_leaving;
     if (reply.refused) return reply;
     const Resources use{cpu_in_use, {}, {}};
     reply.usage.push_back({KindId("k"), use, Clock(now), 1000});
@@ -132,6 +132,8 @@
   ListedHost host;
   /// A broken worker executes commands of any epoch.
   bool checks_epoch = true;
+  /// Without the notice, owners can not know that the worker is leaving.
+  bool tells_leaving = true;
   Incarnation incarnation{1};
   Epoch epoch;
   EntryHostId owner;
