Halve the idle traffic of an entry host

Cause: idle entry hosts spent 25.0 KB/s at 7 hosts and 65 workers, three times the budget of 8 KB/s. Slopes: 0.155 KB/s for each listed worker, about half of it the host list read every 2 s; each pair of hosts exchanged heartbeats twice a second. Change: a host does not call a peer that has just called it; the host list is read every 10 s once it is known. Still over the budget: worker heartbeats are the largest part now; see docs/CAPACITY.md.

--- a/gypsumfall/entry/caller_api.cc
+++ b/gypsumfall/entry/caller_api.cc
@@ -254,7 +254,7 @@
                   .body = Encode(ForwardedCall{context_.self(), "GET",
                                                call.path, call.customer, ""})};
     context_.clients.Call(members->AddressOf(peer), std::move(http), seconds(1),
-                          [asking, finish](CallOutcome outcome) {
+                          [asking, finish](const CallOutcome& outcome) {
                             --asking->open;
                             finish(&outcome);
                           });
--- a/gypsumfall/entry/internal/membership_service.h
+++ b/gypsumfall/entry/internal/membership_service.h
@@ -47,6 +47,9 @@
   void Tick();
   void Send(const HeartbeatTarget& target, const LoanReport& wants);
   HeartbeatMessage OwnMessage() const;
+  bool HeardByCall(const EntryHostId& peer, Time now) const;
+  /// @return whether there is something to ask that only a call can carry.
+  bool MustAsk(const EntryHostId& peer, const LoanReport& wants) const;
   /// Takes over the racks that the peer was asked for and released.
   void TakeReleases(const EntryHostId& peer, const std::vector<RackId>& asked,
                     const std::vector<RackId>& still_owned);
@@ -60,6 +63,8 @@
   std::uint64_t beat_ = 0;
   std::uint64_t seen_version_ = 0;
   std::map<EntryHostId, std::vector<RackId>> release_;
+  /// When each peer last called this host with a heartbeat.
+  std::map<EntryHostId, Time> called_at_;
 };
 
 }  // namespace gypsumfall
--- a/gypsumfall/entry/internal/task_partition.h
+++ b/gypsumfall/entry/internal/task_partition.h
@@ -88,8 +88,8 @@
              const std::vector<Row>& rows);
   void RetryRecovery(const std::string& why);
 
-  void Perform(TaskActions actions);
-  void Perform(JournalActions actions);
+  void Perform(const TaskActions& actions);
+  void Perform(const JournalActions& actions);
   void Append(const AppendRecord& record);
   void SendTransact(const gypsumfall::SendTransact& send);
   void PutObject(const PutSnapshotObject& put);
@@ -103,7 +103,7 @@
   using Outbox = std::map<EntryHostId, AttemptsCall>;
   void AddToOutbox(const TaskAction& action, Outbox& outbox);
   AttemptsCall& CallTo(const EntryHostId& owner, Outbox& outbox) const;
-  void SendOutbox(Outbox outbox);
+  void SendOutbox(Outbox&& outbox);
   void SendTo(const EntryHostId& owner, AttemptsCall call);
   void OnAnswer(const EntryHostId& owner, const AttemptsCall& call,
                 const std::optional<AttemptsReply>& reply);
--- a/gypsumfall/entry/internal/worker_service.h
+++ b/gypsumfall/entry/internal/worker_service.h
@@ -35,7 +35,7 @@
   void OnReleaseAsked(const RackId& rack, const EntryHostId& by);
 
   /// Sends a request for which `placement` holds room.
-  void SendRequest(const Placement& placement, RunRequestCall call,
+  void SendRequest(const Placement& placement, const RunRequestCall& call,
                    Duration timeout);
   /// Asks what became of an exchange, so that it never starts from now on.
   void SendCancel(const WorkerId& worker, const ExchangeId& exchange);
@@ -75,7 +75,7 @@
   void Reserve(const ReserveCall& call, AttemptsReply& reply);
   void StartAttempt(const PeerStartCall& call,
                     const std::shared_ptr<Pending>& pending);
-  void StopAttempt(const PlacedAttempt& attempt, int partition,
+  void StopAttempt(const PlacedAttempt& attempt,
                    const std::shared_ptr<Pending>& pending);
   void AddReports(const WorkerId& worker, int partition, AttemptsReply& reply);
   template <typename Reply, typename Message>
--- a/gypsumfall/entry/membership_service.cc
+++ b/gypsumfall/entry/membership_service.cc
@@ -13,6 +13,9 @@
 
 constexpr Duration kTick = milliseconds(200);
 constexpr Duration kHeartbeatTimeout = seconds(1);
+// A call and its answer carry the same, so a peer that called within this time
+// need not be called: each pair exchanges heartbeats once a second, not twice.
+constexpr Duration kRecentCall = milliseconds(900);
 
 MembershipSettings SettingsFrom(const EntrySettings& settings) {
   MembershipSettings result;
@@ -46,11 +49,25 @@
     ++beat_;
     auto* requests = context_.kernel.Find<RequestService>(kRequestService);
     const LoanReport wants = requests->admission().Report(now);
-    for (const HeartbeatTarget& target : targets) Send(target, wants);
+    for (const HeartbeatTarget& target : targets) {
+      if (!HeardByCall(target.id, now) || MustAsk(target.id, wants)) {
+        Send(target, wants);
+      }
+    }
   }
   NotifyIfChanged();
 }
 
+bool MembershipService::HeardByCall(const EntryHostId& peer, Time now) const {
+  const auto called = called_at_.find(peer);
+  return called != called_at_.end() && now < called->second + kRecentCall;
+}
+
+bool MembershipService::MustAsk(const EntryHostId& peer,
+                                const LoanReport& wants) const {
+  return !wants.wants.empty() || release_.contains(peer);
+}
+
 void MembershipService::Send(const HeartbeatTarget& target,
                              const LoanReport& wants) {
   HeartbeatMessage message = OwnMessage();
@@ -66,7 +83,7 @@
   const Time asked = context_.Now();
   context_.clients.Call(
       target.address, std::move(call), kHeartbeatTimeout,
-      [this, id = target.id, asked, asked_racks](CallOutcome outcome) {
+      [this, id = target.id, asked, asked_racks](const CallOutcome& outcome) {
         OnCallOutcome(id, outcome);
         if (outcome.failure || outcome.status != 200) return;
         const Result<HeartbeatMessage> reply =
@@ -136,6 +153,7 @@
 
 HeartbeatMessage MembershipService::OnHeartbeat(
     const HeartbeatMessage& message) {
+  called_at_[message.heartbeat.sender.peer.id] = context_.Now();
   Take(message);
   NotifyIfChanged();
   HeartbeatMessage reply = OwnMessage();
--- a/gypsumfall/entry/request_service.cc
+++ b/gypsumfall/entry/request_service.cc
@@ -264,7 +264,7 @@
   context_.clients.Call(
       members->AddressOf(peer), std::move(http), timeout,
       [this, peer, members, exchange = call.exchange,
-       resolve_only = call.resolve_only](CallOutcome outcome) {
+       resolve_only = call.resolve_only](const CallOutcome& outcome) {
         members->OnCallOutcome(peer, outcome);
         ForwardOutcome result;
         const bool answered = !outcome.failure && outcome.status == 200;
--- a/gypsumfall/entry/task_partition.cc
+++ b/gypsumfall/entry/task_partition.cc
@@ -53,7 +53,7 @@
   } else {
     done(decision.status);
   }
-  Perform(std::move(decision.actions));
+  Perform(decision.actions);
 }
 
 void TaskPartition::Cancel(const TaskKey& key, StatusDone done) {
@@ -66,7 +66,7 @@
   } else {
     done(decision.status);
   }
-  Perform(std::move(decision.actions));
+  Perform(decision.actions);
 }
 
 void TaskPartition::Wait(const TaskKey& key, Time until, bool is_poll,
@@ -162,7 +162,7 @@
   }
 }
 
-void TaskPartition::Perform(TaskActions actions) {
+void TaskPartition::Perform(const TaskActions& actions) {
   Outbox outbox;
   for (const TaskAction& action : actions) {
     if (const auto* record = std::get_if<AppendRecord>(&action)) {
@@ -193,7 +193,7 @@
   if (due != Time::max()) timer_.NotAfter(due);
 }
 
-void TaskPartition::Perform(JournalActions actions) {
+void TaskPartition::Perform(const JournalActions& actions) {
   auto* store = context_.kernel.Find<StoreService>(kStoreService);
   const Time now = context_.Now();
   for (const JournalAction& action : actions) {
--- a/gypsumfall/entry/task_partition_attempts.cc
+++ b/gypsumfall/entry/task_partition_attempts.cc
@@ -68,7 +68,7 @@
   }
 }
 
-void TaskPartition::SendOutbox(Outbox outbox) {
+void TaskPartition::SendOutbox(Outbox&& outbox) {
   for (auto& [owner, call] : outbox) SendTo(owner, std::move(call));
 }
 
@@ -119,7 +119,7 @@
   const std::string address = members->AddressOf(owner);
   context_.clients.Call(address, std::move(http), kAttemptsTimeout,
                         [this, weak = std::weak_ptr(alive_), owner, members,
-                         call = std::move(call)](CallOutcome outcome) {
+                         call = std::move(call)](const CallOutcome& outcome) {
                           if (weak.expired()) return;
                           members->OnCallOutcome(owner, outcome);
                           std::optional<AttemptsReply> reply;
--- a/gypsumfall/entry/worker_service.cc
+++ b/gypsumfall/entry/worker_service.cc
@@ -11,7 +11,10 @@
 namespace {
 
 constexpr Duration kTick = milliseconds(50);
-constexpr Duration kHostListInterval = seconds(2);
+// The list lags anyway; workers themselves say first that they are leaving.
+constexpr Duration kHostListInterval = seconds(10);
+// Until workers are listed, as after the start of a deployment.
+constexpr Duration kFirstHostListInterval = seconds(1);
 constexpr Duration kCommandTimeout = seconds(1);
 
 FleetSettings SettingsFrom(const EntrySettings& settings) {
@@ -37,6 +40,9 @@
 Result<void> WorkerService::Start() {
   context_.runtime.Every(kTick, [this] { Tick(); });
   context_.runtime.Every(kHostListInterval, [this] { PollHostList(); });
+  context_.runtime.Every(kFirstHostListInterval, [this] {
+    if (listed_.empty()) PollHostList();
+  });
   PollHostList();
   OnMembershipChanged();
   return {};
@@ -125,7 +131,7 @@
                 .body = Encode(message)};
   context_.clients.Call(
       address, std::move(call), timeout,
-      [done = std::move(done)](CallOutcome outcome) {
+      [done = std::move(done)](const CallOutcome& outcome) {
         if (outcome.failure) {
           done(Fail(ErrorKind::kOutcomeUnknown,
                     std::string(CallFailureName(*outcome.failure))),
@@ -178,8 +184,8 @@
   Send(SendResolve{worker, where->address, {where->header, exchange}});
 }
 
-void WorkerService::SendRequest(const Placement& placement, RunRequestCall call,
-                                Duration timeout) {
+void WorkerService::SendRequest(const Placement& placement,
+                                const RunRequestCall& call, Duration timeout) {
   const ExchangeId exchange = call.exchange;
   Call<RequestReply>(
       placement.address, "/v1/requests", call, timeout,
@@ -272,7 +278,7 @@
   for (const WorkerId& worker : call.query) pending->report_on.insert(worker);
   for (const PeerStartCall& start : call.start) StartAttempt(start, pending);
   for (const PlacedAttempt& attempt : call.stop) {
-    StopAttempt(attempt, pending->partition, pending);
+    StopAttempt(attempt, pending);
   }
 }
 
@@ -320,7 +326,7 @@
       });
 }
 
-void WorkerService::StopAttempt(const PlacedAttempt& attempt, int partition,
+void WorkerService::StopAttempt(const PlacedAttempt& attempt,
                                 const std::shared_ptr<Pending>& pending) {
   pending->report_on.insert(attempt.worker);
   const auto where = fleet_.Header(attempt.worker, context_.Now());
@@ -328,8 +334,7 @@
   Call<StopAttemptReply>(
       where->address, "/v1/tasks/stop",
       StopAttemptCall{where->header, attempt.id}, kCommandTimeout,
-      [this, pending, attempt, partition](const Result<StopAttemptReply>& reply,
-                                          bool) {
+      [this, pending, attempt](const Result<StopAttemptReply>& reply, bool) {
         Perform(fleet_.OnStopAnswer(attempt.id, reply, context_.Now()));
         if (!reply || reply->refused) return;
         // A closed number that never ran is not in the worker's own reports.
