Use no worker that another host has taken over

Cause: stopping hosts refused requests with no_capacity for up to 0.8 s (53 for each planned stop). Ruled out: peers without room (they had 64 to 128 spare slots). Found: peers take the workers of a leaving host at once; the fleet compared the send time of a heartbeat with the time of its tick for equality, which the entry host never met, so every heartbeat counted as unanswered for 1 s and held back the one that finds out. Change: the answer counts if it was sent at or after the tick; a refusal for a stale epoch makes the worker silent at once. explain, history and check in the command line match the entry host.

--- a/bench/lab.py
+++ b/bench/lab.py
@@ -186,6 +186,35 @@
         deployment.stop()
 
 
+def latency(arguments):
+    """The same requests through an entry host and straight to one worker, in
+    turns, at the same rate."""
+    deployment = Deployment(1, 8, run_ms=2)
+    worker_key = os.path.join(deployment.folder, "worker-key")
+    with open(worker_key, "w") as file:
+        file.write("loopback-worker-key")
+    try:
+        deployment.put_contract()
+        time.sleep(4)
+        for turn in range(arguments.turns):
+            common = ["--kind", "stock-check", "--loop", "open", "--rate", str(arguments.rate),
+                      "--count", "100000", "--seconds", str(arguments.seconds), "--connections",
+                      "8", "--id-prefix", f"turn{turn}"]
+            routed = json.loads(deployment.load(*common).communicate()[0])
+            direct = json.loads(subprocess.run(
+                [LOAD, "--targets", f"127.0.0.1:{PORT + 1000}", "--work", "direct", "--key-file",
+                 worker_key, "--epoch", str(1000 + turn), *common],
+                stdout=subprocess.PIPE, text=True, check=False).stdout)
+            report(measure="latency", turn=turn,
+                   routed_us={q: routed["latency"][q] for q in ("p50_us", "p99_us")},
+                   direct_us={q: direct["latency"][q] for q in ("p50_us", "p99_us")},
+                   routed_done=routed["by_was_run"].get("yes", 0),
+                   direct_done=direct["by_was_run"].get("yes", 0),
+                   errors=[routed["by_error"], direct["by_error"]])
+    finally:
+        deployment.stop()
+
+
 def stops(arguments):
     """Stops and restarts each entry host in turn under load. With --kill 1 the
     hosts are killed instead, which must show as calls that are cut off."""
@@ -236,6 +265,36 @@
         deployment.stop()
 
 
+def customers(arguments):
+    """Memory and time to start of one entry host against the number of customers."""
+    deployment = Deployment(1, 8)
+    try:
+        stored = 0
+        for size in arguments.sizes.split(","):
+            while stored < int(size):
+                batch = range(stored, min(stored + 40, int(size)))
+                puts = [{"key": f"contract/customer-{n}", "value": json.dumps(
+                    {"customer": f"customer-{n}", "version": 1, "author": "lab", "token": "lab",
+                     "text": contract_text(f"customer-{n}")})} for n in batch]
+                http("POST", PORT, "/v1/transact", json.dumps(
+                    {"token": "lab", "checks": [], "puts": puts, "deletes": []}))
+                stored += len(batch)
+                time.sleep(0.3)
+            pid = deployment.pid("entry-1")
+            os.kill(pid, signal.SIGKILL)
+            while os.path.exists(f"/proc/{pid}"):
+                time.sleep(0.05)
+            deployment.cluster("start-entry", deployment.folder, "1")
+            begin = time.time()
+            deployment.await_healthy(1)
+            listed = json.loads(http("GET", deployment.port(1), "/v1/contracts")[1])
+            report(measure="customers", customers=int(size), loaded=len(listed["contracts"]),
+                   healthy_s=round(time.time() - begin, 2),
+                   rss_mb=round(memory_mb(deployment.pid("entry-1")), 1))
+    finally:
+        deployment.stop()
+
+
 def tasks(arguments):
     """Rows written for each thousand task starts."""
     deployment = Deployment(7, 65)
@@ -410,7 +469,9 @@
     commands = parser.add_subparsers(required=True)
     for function, options in (
             (idle, {"seconds": 10}), (throughput, {"seconds": 8, "rate": 4000}),
+            (latency, {"seconds": 5, "rate": 500, "turns": 3}),
             (stops, {"seconds": 120, "rate": 600, "kill": 0}), (contracts, {"count": 60}),
+            (customers, {"sizes": "1,100,400,770"}),
             (tasks, {"count": 900, "background": 3.5}), (soak, {"seconds": 120, "seed": 1})):
         command = commands.add_parser(function.__name__, help=function.__doc__)
         for name, default in options.items():
--- a/gypsumfall/cli/inspect_commands.cc
+++ b/gypsumfall/cli/inspect_commands.cc
@@ -13,6 +13,7 @@
 struct ExplainArguments {
   std::string what;
   std::string id;
+  std::string customer;
   AccessArguments access;
 
   OptionList Describe() {
@@ -21,6 +22,9 @@
              "what the id names: request, task, worker, host or contract", what,
              ParseId);
     list.Add(OptionForm::kPositional, "id", "ID", "the id", id, ParseId);
+    list.Add(OptionForm::kValue, "customer", "ID",
+             "customer of the request or task (or set GYPSUMFALL_CUSTOMER)",
+             customer, ParseId);
     access.Describe(Role::kOperator, list);
     return list;
   }
@@ -28,14 +32,26 @@
 
 ExitCode Explain(const ExplainArguments& arguments,
                  const CliEnvironment& environment) {
+  std::string subject = arguments.what + "/";
+  if (arguments.what == "request" || arguments.what == "task") {
+    std::string customer = arguments.customer;
+    if (customer.empty()) {
+      customer = environment.variable("GYPSUMFALL_CUSTOMER").value_or("");
+    }
+    if (customer.empty()) {
+      return BadInput(environment,
+                      "the customer is missing; write --customer ID");
+    }
+    subject += customer + "/";
+  }
+  subject += arguments.id;
   const auto session =
       Session::Open(Role::kOperator, arguments.access, environment);
   if (!session) return session.error();
-  const auto body = session->SendForBody(
-      {.method = "GET",
-       .path = "/v1/explain/" + arguments.what + "/" + arguments.id,
-       .body = {},
-       .if_lost = {}});
+  const auto body = session->SendForBody({.method = "GET",
+                                          .path = "/v1/explain/" + subject,
+                                          .body = {},
+                                          .if_lost = {}});
   if (!body) return body.error();
   const auto decisions = DecodeDecisions(*body);
   if (!decisions) return session->Unreadable(decisions.error());
--- a/gypsumfall/entry/operator_api.cc
+++ b/gypsumfall/entry/operator_api.cc
@@ -42,6 +42,21 @@
   return changes;
 }
 
+/// @param before text of the earlier version; empty for the first.
+json::array ChangedFields(const std::string& before, const std::string& after) {
+  json::array changes;
+  const Parsed<Contract> newer = ParseContract(after);
+  if (!newer) return changes;
+  const Contract none{.customer = newer->customer};
+  for (const FieldChange& change :
+       DiffContracts(ParseContract(before).value_or(none), *newer)) {
+    changes.push_back(json::object{{"field", change.field},
+                                   {"before", change.before},
+                                   {"after", change.after}});
+  }
+  return changes;
+}
+
 json::array FaultArray(const std::vector<Fault>& faults) {
   json::array array;
   for (const Fault& fault : faults) {
@@ -147,10 +162,15 @@
       [respond, customer](const Result<std::vector<StoredContract>>& found) {
         if (!found) return Reject(respond, found.error());
         json::array versions;
-        for (const StoredContract& stored : *found) {
-          versions.push_back(json::object{{"version", stored.version.value()},
-                                          {"author", stored.author},
-                                          {"text", stored.text}});
+        for (std::size_t i = 0; i < found->size(); ++i) {
+          const StoredContract& stored = (*found)[i];
+          const std::string before =
+              i + 1 < found->size() ? (*found)[i + 1].text : std::string();
+          versions.push_back(
+              json::object{{"version", stored.version.value()},
+                           {"author", stored.author},
+                           {"text", stored.text},
+                           {"changes", ChangedFields(before, stored.text)}});
         }
         Reply(respond, json::object{{"customer", customer.str()},
                                     {"history", std::move(versions)}});
@@ -167,14 +187,8 @@
   if (!contract) return;
   auto* contracts = context_.kernel.Find<ContractService>(kContractService);
   const ContractPtr standing = contracts->book().Find(customer);
-  json::array changes;
-  const Contract none{.customer = customer};
-  for (const FieldChange& change :
-       DiffContracts(standing ? *standing : none, *contract)) {
-    changes.push_back(json::object{{"field", change.field},
-                                   {"before", change.before},
-                                   {"after", change.after}});
-  }
+  json::array changes = ChangedFields(
+      standing ? contracts->TextOf(customer) : std::string(), text);
   const std::uint64_t version =
       standing ? standing->version.value() : std::uint64_t{0};
   Reply(respond, json::object{{"customer", customer.str()},
@@ -293,10 +307,11 @@
   for (const Decision& decision : context_.decisions.Find(subject)) {
     const auto age =
         std::chrono::duration_cast<milliseconds>(now - decision.time);
-    decisions.push_back(json::object{{"ms_ago", age.count()},
-                                     {"what", decision.what},
-                                     {"why", decision.why},
-                                     {"host", decision.host.str()}});
+    decisions.push_back(
+        json::object{{"time", std::to_string(age.count()) + " ms ago"},
+                     {"what", decision.what},
+                     {"why", decision.why},
+                     {"host", decision.host.str()}});
   }
   Reply(respond, json::object{{"subject", subject},
                               {"host", context_.self().str()},
--- a/gypsumfall/fleet/fleet_answers.cc
+++ b/gypsumfall/fleet/fleet_answers.cc
@@ -103,7 +103,10 @@
   if (index == kNoWorker) return out;
   WorkerRecord& worker = workers_[index];
   if (!worker.owned || call.header.epoch != worker.epoch) return out;
-  if (worker.heartbeat_sent == sent_at) worker.heartbeat_sent.reset();
+  // The call was sent at or shortly after the tick that decided it.
+  if (worker.heartbeat_sent && sent_at >= *worker.heartbeat_sent) {
+    worker.heartbeat_sent.reset();
+  }
   if (!reply) {
     SendAgain(worker, call);
     return out;
--- a/gypsumfall/fleet/fleet_test.cc
+++ b/gypsumfall/fleet/fleet_test.cc
@@ -95,12 +95,15 @@
     Result<WorkerHeartbeatReply> reply =
         At(send.worker).Heartbeat(send.call, now);
     if (lose_heartbeats) reply = Fail(ErrorKind::kInternal, "lost");
-    Perform(fleet.OnHeartbeatAnswer(send.worker, send.call, reply, now, now));
+    Perform(fleet.OnHeartbeatAnswer(send.worker, send.call, reply,
+                                    now + heartbeat_send_delay, now));
   }
   void Do(const SendResolve& send) {
     const RequestReply reply = At(send.worker).Cancel(send.call, now);
     fleet.OnResolveAnswer(send.worker, send.call.exchange, reply, now);
   }
+  /// Time from the decision to send a heartbeat until it is sent.
+  Duration heartbeat_send_delay{};
   void Do(const AskRelease& ask) { asked.push_back(ask.owner); }
   void Do(const WorkerLost& loss) { lost.push_back(loss.reason); }
   void Do(const AttemptNeverStarted& never) {
@@ -329,6 +332,24 @@
   CHECK_FALSE(rig.Place(1, MakeWork(1)));
 }
 
+// A worker taken over by another host refused requests for up to a second: a
+// heartbeat that was sent a little after its tick counted as unanswered and
+// held back the one that finds out.
+void RefusedAfterTakeover(Rig& rig) {
+  rig.heartbeat_send_delay = Duration(5);
+  rig.Run(milliseconds(1500));
+  const AttachCall takeover{EntryHostId("b"), rig.Snapshot().epoch.Next()};
+  REQUIRE(rig.workers[0].Attach(takeover, rig.now).accepted);
+  REQUIRE(rig.Place(1, MakeWork(1)));
+  rig.fleet.OnRequestAnswer(WorkerId("w0"), Exchange(1),
+                            RequestReply{.exchange = Exchange(1),
+                                         .refused = RefusalReason::kStaleEpoch},
+                            rig.now);
+  CHECK_FALSE(rig.Place(2, MakeWork(1)));
+  rig.Run(kStep);
+  CHECK(rig.lost == std::vector{WorkerLossReason::kStaleEpoch});
+}
+
 void AdoptionOverCapacity(Rig& rig) {
   WorkerTestDouble& worker = rig.workers[0];
   worker.Restart();
@@ -489,6 +510,7 @@
       {"owner restarted under its id", RestartedOwner},
       {"handover", Handover},
       {"preferred owner cannot attach", PreferredOwnerCannotAttach},
+      {"request refused after a takeover", RefusedAfterTakeover},
       {"worker leaving", LeavingWorker},
       {"leaving notice lost", LostLeavingNotice},
       {"over-reservation by adoption", AdoptionOverCapacity},
--- a/gypsumfall/fleet/fleet_work.cc
+++ b/gypsumfall/fleet/fleet_work.cc
@@ -242,8 +242,13 @@
     const WorkerIndex index = IndexOf(worker);
     if (index == kNoWorker) return;
     if (reply->refused == RefusalReason::kStaleEpoch) {
-      // The heartbeat finds out who owns the worker.
-      workers_[index].next_heartbeat = now;
+      // The heartbeat finds out who owns the worker; until it is answered the
+      // worker counts as silent, so that no more work is refused by it.
+      WorkerRecord& record = workers_[index];
+      record.next_heartbeat = now;
+      record.confirmed_at =
+          std::min(record.confirmed_at, now - settings_.silence_limit);
+      record.silent = true;
     }
     EndExchange(index, exchange, ExchangeState::kNeverStarted, now);
     return;
