Learn interference by pair of images; place and pace by it

Change: a headroom model for each pair of images (serving, filling), learned from reports; serving images are grouped by worker; runs that fill wait when they would take too much headroom, and move when they stand still.

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -235,8 +235,7 @@
         << (worker.listed ? "" : ", not listed")
         << (worker.entry.draining ? ", draining" : "")
         << (worker.fenced ? "" : ", not fenced")
-        << (IsSilent(worker, now) ? ", silent" : "") << ", fill share "
-        << worker.fill_percent << "%, ends " << worker.processed << "/"
+        << (IsSilent(worker, now) ? ", silent" : "") << ", ends " << worker.processed << "/"
         << worker.acknowledged << "\n";
   }
   return std::move(out).str();
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "gypsumfall/dispatch/dispatch.h"
+#include "gypsumfall/dispatch/internal/pacing.h"
 
 namespace gypsumfall {
 namespace {
@@ -21,6 +22,9 @@
 // Time that a worker which refused a start gets no new work.
 constexpr Duration kRefusalPause = milliseconds(500);
 
+// Told share of a run of which the last pace order may be lost.
+constexpr int kUnknownPace = -100;
+
 }  // namespace
 
 using dispatch_internal::ClockNow;
@@ -119,6 +123,18 @@
   }
 }
 
+void Dispatcher::OnPaceReply(const PaceOrder& order, const OrderReply& reply) {
+  Worker* worker = workers_.Find(order.worker);
+  if (worker == nullptr) return;
+  if (reply.verdict == OrderVerdict::kFenced) superseded_ = true;
+  const auto bound = worker->runs.find(order.task);
+  if (bound == worker->runs.end() || bound->second.number != order.run) return;
+  Run& run = bound->second;
+  run.pace_open = false;
+  // An order that may not have arrived is sent again.
+  if (reply.verdict != OrderVerdict::kAccepted) run.told_percent = kUnknownPace;
+}
+
 void Dispatcher::RunNeverCame(Worker& worker, const TaskName& name, Time now,
                               std::string_view reason) {
   const auto bound = worker.runs.find(name);
@@ -230,6 +246,8 @@
     }
   }
   worker.strangers = std::move(strangers);
+  interference_.Learn(worker);
+  DecidePace(worker, interference_, now);
   DropMissing(worker, reply, sent, now);
 }
 
--- a/gypsumfall/dispatch/dispatcher_starts.cc
+++ b/gypsumfall/dispatch/dispatcher_starts.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "gypsumfall/dispatch/dispatch.h"
-#include "gypsumfall/dispatch/internal/pacing.h"
 #include "gypsumfall/dispatch/internal/placement.h"
 
 namespace gypsumfall {
@@ -19,6 +18,9 @@
 constexpr Duration kUnstoredEndDelay = milliseconds(60);
 // Pause before a stop that was not answered is sent again.
 constexpr Duration kStopRetryDelay = milliseconds(400);
+// Time that a run stands still before it is moved. Moving costs the restore
+// of its checkpoint.
+constexpr Duration kPauseBeforeMove = milliseconds(800);
 // Changes of the share below this are not worth a call.
 constexpr int kLeastPaceChange = 5;
 
@@ -51,7 +53,6 @@
 
 using dispatch_internal::ChooseWorker;
 using dispatch_internal::ClockNow;
-using dispatch_internal::DecideFillPercent;
 using dispatch_internal::IsSilent;
 using dispatch_internal::PlacementRequest;
 using dispatch_internal::Stranger;
@@ -62,6 +63,7 @@
   if (superseded_) return orders;
   DropLostWorkers(now);
   ReleaseDue(now);
+  MovePausedRuns(now);
   AddStopOrders(now, orders);
   AddStartOrders(now, orders);
   AddLeaseOrders(now, orders);
@@ -71,7 +73,7 @@
 void Dispatcher::AddLeaseOrders(Time now, std::vector<Order>& orders) {
   for (auto& [id, worker] : workers_) {
     if (worker.entry.endpoint.empty()) continue;
-    DecidePace(worker, now, orders);
+    AddPaceOrders(worker, orders);
     if (worker.lease_call_open) continue;
     const bool unstored = !worker.pending_ends.empty();
     const Time due =
@@ -95,19 +97,36 @@
   }
 }
 
-void Dispatcher::DecidePace(Worker& worker, Time now,
-                            std::vector<Order>& orders) {
-  const int percent = DecideFillPercent(worker, now);
-  if (percent != worker.fill_percent) {
-    worker.fill_percent = percent;
-    worker.fill_changed_at = now;
-  }
+void Dispatcher::AddPaceOrders(Worker& worker, std::vector<Order>& orders) {
   for (auto& [name, run] : worker.runs) {
-    if (!run.fills || run.phase != RunPhase::kRunning) continue;
-    if (std::abs(run.paced_percent - percent) < kLeastPaceChange) continue;
-    run.paced_percent = percent;
+    if (!run.fills || run.phase != RunPhase::kRunning || run.pace_open) continue;
+    if (std::abs(run.told_percent - run.wanted_percent) < kLeastPaceChange) {
+      continue;
+    }
+    run.told_percent = run.wanted_percent;
+    run.pace_open = true;
     orders.emplace_back(PaceOrder{worker.entry.id, worker.entry.endpoint, name,
-                                  run.number, percent});
+                                  run.number, run.wanted_percent});
+  }
+}
+
+// A run that stands still and has a checkpoint goes on elsewhere.
+void Dispatcher::MovePausedRuns(Time now) {
+  for (auto& [id, worker] : workers_) {
+    for (auto& [name, run] : worker.runs) {
+      if (!run.fills || run.phase != RunPhase::kRunning) continue;
+      if (run.wanted_percent > 0) {
+        run.paused_since.reset();
+        continue;
+      }
+      if (!run.paused_since) run.paused_since = now;
+      if (now < *run.paused_since + kPauseBeforeMove) continue;
+      const Job* job = jobs_.Find(name.job);
+      if (job != nullptr && !job->occurrences.empty() &&
+          job->spec_of(name).checkpoints) {
+        WantStop(worker, name, now, "stands still beside urgent work");
+      }
+    }
   }
 }
 
@@ -253,13 +272,13 @@
                            .rack = spec.data_rack,
                            .avoid = task.failed_on};
   if (request.rack.empty() && spec.same_rack) request.rack = step.rack;
-  Worker* worker = ChooseWorker(workers_, request, now);
+  Worker* worker = ChooseWorker(workers_, request, interference_, now);
   if (worker == nullptr && !request.rack.empty()) {
     // Waiting for the rack costs more than the slower run once it has waited
     // as long as the run was declared to take.
     if (now < task.ready_since + spec.declared_run_time) return nullptr;
     request.rack = RackId();
-    worker = ChooseWorker(workers_, request, now);
+    worker = ChooseWorker(workers_, request, interference_, now);
   }
   if (worker != nullptr && spec.same_rack && step.rack.empty()) {
     step.rack = worker->entry.rack;
--- /dev/null
+++ b/gypsumfall/dispatch/interference.cc
@@ -0,0 +1,109 @@
+#include "gypsumfall/dispatch/internal/interference.h"
+
+#include <algorithm>
+
+namespace gypsumfall::dispatch_internal {
+namespace {
+
+// Tails of this many times their target are the most that workers report;
+// such a report says only that the headroom is below it.
+constexpr double kLeastHeadroom = 0.15;
+constexpr double kMostHeadroom = 4.0;
+// Range of what a run has by itself, whatever its load.
+constexpr double kLeastOwnHeadroom = 0.8;
+
+// Slope of a pair that was not seen yet. Cautious: the first runs of an image
+// go where little serves.
+constexpr double kAssumedSlope = 5.0;
+// Part of an error that one report corrects. Reports scatter by about a third,
+// so that some tens of them count.
+constexpr double kSlopeRate = 0.1;
+constexpr double kOwnRate = 0.2;
+// Added to the squared input, so that small shares teach little.
+constexpr double kInputFloor = 0.02;
+// Weight of the newest report in the smoothed headroom.
+constexpr double kSmoothing = 0.6;
+
+// A run that is this young does not show in the reports of the others yet.
+constexpr Duration kReportDelay = milliseconds(1200);
+// Headroom that serving runs are to keep, for the scatter of reports.
+constexpr double kKeptHeadroom = 1.35;
+
+double ReportedHeadroom(const Run& serving) {
+  const double target_ms =
+      static_cast<double>(serving.tail_target.count()) / 1000;
+  if (serving.usage <= 0) return kMostHeadroom;
+  return std::clamp(target_ms / serving.usage, kLeastHeadroom, kMostHeadroom);
+}
+
+}  // namespace
+
+bool IsServing(const Run& run) {
+  return run.long_running && run.tail_target.count() > 0;
+}
+
+double ShareOf(const Worker& worker, MilliCores cpu) {
+  const auto capacity =
+      static_cast<double>(worker.entry.capacity.cpu.value());
+  return capacity > 0 ? static_cast<double>(cpu.value()) / capacity : 0;
+}
+
+double InterferenceModel::Slope(const ImageId& serving,
+                                const ImageId& filling) const {
+  const auto found = slope_.find({serving, filling});
+  return found == slope_.end() ? kAssumedSlope : found->second;
+}
+
+void InterferenceModel::Learn(Worker& worker) {
+  std::map<ImageId, double> shares;
+  double squared = kInputFloor;
+  for (const auto& [task, run] : worker.runs) {
+    if (!run.fills) continue;
+    shares[run.image] +=
+        ShareOf(worker, MilliCores(static_cast<std::int64_t>(run.usage)));
+  }
+  for (const auto& [image, share] : shares) squared += share * share;
+  for (auto& [task, run] : worker.runs) {
+    if (!IsServing(run) || run.usage <= 0) continue;
+    const double reported = ReportedHeadroom(run);
+    run.headroom += kSmoothing * (reported - run.headroom);
+    double predicted = run.own_headroom;
+    for (const auto& [image, share] : shares) {
+      predicted -= Slope(run.image, image) * share;
+    }
+    const bool censored = reported <= kLeastHeadroom;
+    if (censored && predicted < reported) continue;
+    const double error = reported - predicted;
+    for (const auto& [image, share] : shares) {
+      double& slope =
+          slope_.try_emplace({run.image, image}, kAssumedSlope).first->second;
+      slope = std::max(0.0, slope - kSlopeRate * error * share / squared);
+    }
+    if (!censored) {
+      run.own_headroom = std::clamp(run.own_headroom + kOwnRate * error,
+                                    kLeastOwnHeadroom, kMostHeadroom);
+    }
+  }
+}
+
+double InterferenceModel::ShortfallAfterPlacing(const Worker& worker,
+                                                const ImageId& filling,
+                                                MilliCores cpu,
+                                                Time now) const {
+  const double share = ShareOf(worker, cpu);
+  double shortfall = 0;
+  for (const auto& [task, serving] : worker.runs) {
+    if (!IsServing(serving)) continue;
+    double taken = Slope(serving.image, filling) * share;
+    if (taken <= 0) continue;
+    for (const auto& [other, run] : worker.runs) {
+      if (!run.fills || now >= run.started_at + kReportDelay) continue;
+      taken +=
+          Slope(serving.image, run.image) * ShareOf(worker, run.fill_cpu);
+    }
+    shortfall += std::max(0.0, kKeptHeadroom - (serving.headroom - taken));
+  }
+  return shortfall;
+}
+
+}  // namespace gypsumfall::dispatch_internal
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "gypsumfall/base/base.h"
+#include "gypsumfall/dispatch/internal/interference.h"
 #include "gypsumfall/dispatch/internal/job_table.h"
 #include "gypsumfall/dispatch/internal/worker_messages.h"
 #include "gypsumfall/dispatch/internal/worker_table.h"
@@ -88,6 +89,7 @@
                     Time now);
   void OnStopReply(const StopOrder& order, const OrderReply& reply, Time sent,
                    Time now);
+  void OnPaceReply(const PaceOrder& order, const OrderReply& reply);
   void OnLeaseReply(const LeaseOrder& order, const LeaseReply& reply,
                     Time sent, Time now, WallTime wall_now);
 
@@ -177,10 +179,11 @@
   void LoseRuns(Worker& worker, Time now, std::string_view reason);
   void DropLostWorkers(Time now);
   bool AllAccounted();
-  void DecidePace(Worker& worker, Time now, std::vector<Order>& orders);
 
   // Orders.
   void AddLeaseOrders(Time now, std::vector<Order>& orders);
+  void MovePausedRuns(Time now);
+  void AddPaceOrders(Worker& worker, std::vector<Order>& orders);
   void AddStopOrders(Time now, std::vector<Order>& orders);
   void AddStopOrder(Worker& worker, const TaskName& name, Run& run, Time now,
                     std::vector<Order>& orders);
@@ -207,6 +210,7 @@
   Topology topology_;
   dispatch_internal::JobTable jobs_;
   dispatch_internal::WorkerTable workers_;
+  dispatch_internal::InterferenceModel interference_;
   std::set<StepRef> ready_;
   /// Times at which further occurrences of jobs are due.
   std::multimap<Time, JobId> due_;
--- a/gypsumfall/dispatch/internal/placement.h
+++ b/gypsumfall/dispatch/internal/placement.h
@@ -2,6 +2,7 @@
 #define GYPSUMFALL_DISPATCH_INTERNAL_PLACEMENT_H_
 
 #include "gypsumfall/base/base.h"
+#include "gypsumfall/dispatch/internal/interference.h"
 #include "gypsumfall/dispatch/internal/job_table.h"
 #include "gypsumfall/dispatch/internal/worker_table.h"
 
@@ -22,13 +23,15 @@
 bool AcceptsWork(const Worker& worker, Time now);
 
 /// Chooses a worker with room.
-/// - Long-running tasks are spread, since they slow each other.
+/// - Long-running tasks go to workers that run the same image, and are spread
+///   over these.
 /// - Tasks that end are packed tightly, which leaves large gaps for others.
-/// - Tasks that fill go where the most processors are left unused.
+/// - Tasks that fill go where they harm the tails of others least, and then
+///   where the most processors are left unused.
 /// Workers that failed runs lately are taken only if no other has room.
 /// @return null if no worker has room.
 Worker* ChooseWorker(WorkerTable& workers, const PlacementRequest& request,
-                     Time now);
+                     const InterferenceModel& model, Time now);
 
 }  // namespace gypsumfall::dispatch_internal
 
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -51,8 +51,16 @@
   int percent = 0;
   Time progress_at{};
   double usage = 0;
-  /// Share at which the run was told to work.
-  int paced_percent = 100;
+  /// Target divided by the tail latency, smoothed, and what of it the run has
+  /// without those beside it. An idle run of typical load starts with this.
+  double headroom = 2.5;
+  double own_headroom = 2.5;
+  /// Share at which a run that fills is to work, and the one it was told.
+  int wanted_percent = 100;
+  /// Since when it is to stand still; unset while it may work.
+  std::optional<Time> paused_since;
+  int told_percent = 100;
+  bool pace_open = false;
 };
 
 /// An end that is not acknowledged to the worker yet.
@@ -103,13 +111,11 @@
   /// Runs that the worker lists and that must not go on there.
   std::map<TaskName, Stranger> strangers;
   Resources used;
-  /// Processors asked for by the runs that fill.
-  MilliCores fill_cpu;
   /// Processors reserved by long-running runs.
   MilliCores long_running_cpu;
-  /// Share at which runs that fill may work here.
-  int fill_percent = 100;
-  Time fill_changed_at{};
+  /// Since when a serving run misses its target.
+  Time target_missed_since{};
+  Time pace_changed_at{};
 
   /// Failed runs, halved by each run that is done.
   double failure_score = 0;
@@ -136,6 +142,9 @@
 /// @return what remains for runs that do not fill.
 Resources Free(const Worker& worker);
 
+/// @return processors that runs that fill may use at their present shares.
+double FillDemand(const Worker& worker);
+
 /// Binds a run to the worker and reserves its room.
 void Bind(Worker& worker, const TaskName& task, Run run);
 /// Releases the room of a run.
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -18,6 +18,15 @@
 constexpr double kUnusedShareOfReserved = 0.5;
 // Least share of its processors that a task that fills must find unused.
 constexpr double kLeastFillShare = 0.7;
+// A run that would leave more than this missing would be paused at once; it
+// waits for another worker instead.
+constexpr double kMostShortfall = 0.3;
+// Unused processors, in thousandths of a core, that outweigh a missing
+// headroom of 1.
+constexpr double kShortfallPenalty = 1e5;
+// The same for each other image that serves on a worker. Few images on each
+// worker leave each image that fills some workers where it slows nobody.
+constexpr double kOtherImagePenalty = 1e4;
 
 bool HasLabel(const Worker& worker, const WorkerLabel& label) {
   const auto& labels = worker.entry.labels;
@@ -51,21 +60,37 @@
   return static_cast<double>(Free(worker).cpu.value()) +
          kUnusedShareOfReserved *
              static_cast<double>(worker.long_running_cpu.value()) -
-         static_cast<double>(worker.fill_cpu.value());
+         FillDemand(worker);
+}
+
+// @return serving runs of other images on the worker.
+int OtherImages(const Worker& worker, const ImageId& image) {
+  int count = 0;
+  for (const auto& [task, run] : worker.runs) {
+    if (IsServing(run) && run.image != image) ++count;
+  }
+  return count;
 }
 
 // @return a score of which the lowest is best, or infinity.
-double Score(const Worker& worker, const StepSpec& spec) {
+double Score(const Worker& worker, const StepSpec& spec,
+             const InterferenceModel& model, Time now) {
   if (spec.fills) {
     const double unused = UnusedProcessors(worker);
     if (unused < kLeastFillShare * static_cast<double>(spec.need.cpu.value())) {
       return std::numeric_limits<double>::infinity();
     }
-    return -unused * worker.fill_percent / 100;
+    const double shortfall = model.ShortfallAfterPlacing(
+        worker, spec.image, spec.need.cpu, now);
+    if (shortfall > kMostShortfall) {
+      return std::numeric_limits<double>::infinity();
+    }
+    return kShortfallPenalty * shortfall - unused;
   }
   const auto left =
       static_cast<double>(Free(worker).cpu.value() - spec.need.cpu.value());
-  return spec.long_running ? -left : left;
+  if (!spec.long_running) return left;
+  return kOtherImagePenalty * OtherImages(worker, spec.image) - left;
 }
 
 bool IsDistrusted(const Worker& worker, Time now) {
@@ -82,7 +107,7 @@
 }
 
 Worker* ChooseWorker(WorkerTable& workers, const PlacementRequest& request,
-                     Time now) {
+                     const InterferenceModel& model, Time now) {
   Worker* best = nullptr;
   double best_score = std::numeric_limits<double>::infinity();
   for (auto& [id, worker] : workers) {
@@ -90,7 +115,7 @@
         !AcceptsWork(worker, now)) {
       continue;
     }
-    double score = Score(worker, *request.spec);
+    double score = Score(worker, *request.spec, model, now);
     if (id == request.avoid || IsDistrusted(worker, now)) {
       score += kDistrustPenalty;
     }
--- a/gypsumfall/dispatch/worker_table.cc
+++ b/gypsumfall/dispatch/worker_table.cc
@@ -47,11 +47,18 @@
   return worker.entry.capacity - worker.used;
 }
 
+double FillDemand(const Worker& worker) {
+  double demand = 0;
+  for (const auto& [task, run] : worker.runs) {
+    demand += static_cast<double>(run.fill_cpu.value()) * run.wanted_percent /
+              100;
+  }
+  return demand;
+}
+
 void Bind(Worker& worker, const TaskName& task, Run run) {
   if (run.fills) {
     run.fill_cpu = std::exchange(run.need.cpu, MilliCores(0));
-    worker.fill_cpu =
-        MilliCores(worker.fill_cpu.value() + run.fill_cpu.value());
   }
   if (run.long_running) {
     worker.long_running_cpu =
@@ -66,7 +73,6 @@
   if (found == worker.runs.end()) return;
   const Run& run = found->second;
   worker.used -= run.need;
-  worker.fill_cpu = MilliCores(worker.fill_cpu.value() - run.fill_cpu.value());
   if (run.long_running) {
     worker.long_running_cpu =
         MilliCores(worker.long_running_cpu.value() - run.need.cpu.value());
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -315,7 +315,9 @@
   context_.ports.workers.pace(
       order, dispatcher_->epoch(), kOrderTimeout,
       [this, order, turn = turn_](OrderReply reply) {
-        if (turn != turn_ || reply.verdict == OrderVerdict::kAccepted) return;
+        if (turn != turn_) return;
+        dispatcher_->OnPaceReply(order, reply);
+        if (reply.verdict == OrderVerdict::kAccepted) return;
         if (reply.verdict == OrderVerdict::kUnanswered) unanswered_.Add();
         log_.Info("pace order not taken",
                   {{"task", TaskText(order.task)},
