Let leases of silent workers lapse; count failed runs by number

A queue that was removed took its terms from its jobs. Change: calls to silent workers extend nothing; another worker at the address proves that the old one is gone; failures are kept by run number; a job keeps the terms of its acceptance.

--- a/gypsumfall/dispatch/dispatch.h
+++ b/gypsumfall/dispatch/dispatch.h
@@ -17,7 +17,6 @@
 /// Example:
 /// @code
 ///   Dispatcher dispatcher(settings, Epoch(4), now);
-///   dispatcher.SetTopology(topology);
 ///   dispatcher.OnWorkerListed(entry, now);
 ///   dispatcher.Submit(record, now);
 ///   for (Order& order : dispatcher.Decide(now)) Send(order);
--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -33,8 +33,7 @@
 }
 
 void Dispatcher::RestoreJob(JobRecord record, Time now, WallTime wall_now) {
-  const QueueSettings* queue = topology_.FindQueue(record.queue);
-  Job* job = jobs_.Add(std::move(record), queue, now, wall_now);
+  Job* job = jobs_.Add(std::move(record), now, wall_now);
   if (job == nullptr) return;
   job->recovered = true;
   const std::uint64_t earlier =
@@ -63,8 +62,7 @@
 }
 
 void Dispatcher::Submit(JobRecord record, Time now, WallTime wall_now) {
-  const QueueSettings* queue = topology_.FindQueue(record.queue);
-  Job* job = jobs_.Add(std::move(record), queue, now, wall_now);
+  Job* job = jobs_.Add(std::move(record), now, wall_now);
   if (job == nullptr) return;
   Note("job taken over", {.job = job->record.id}, RunNumber(), {},
        "queue " + job->record.queue.str());
--- a/gypsumfall/dispatch/dispatcher_ends.cc
+++ b/gypsumfall/dispatch/dispatcher_ends.cc
@@ -29,7 +29,7 @@
   run.fills = spec.fills;
   run.long_running = spec.long_running;
   run.tail_target = spec.tail_target;
-  run.image = spec.image;
+  run.image = interference_.IndexOf(spec.image);
   task.phase = TaskPhase::kBound;
   task.last_run = std::max(task.last_run, run.number.value());
   job.started = true;
@@ -105,13 +105,18 @@
   if (end.end == RunEnd::kFailed) {
     worker.failure_score += 1;
     worker.last_failure = now;
-    if (!long_running && end.run.value() > task->failed_run) {
-      TaskFailed(*job, end.task, *task, end.run, worker.entry.id, wall_now);
+    // Ends of two workers may be listed in any order.
+    const auto& counted = task->failed_runs;
+    if (!long_running && std::find(counted.begin(), counted.end(),
+                                   end.run.value()) == counted.end()) {
+      TaskFailed(*job, end.task, *task, end.run, worker.entry.id);
       ticket = job->record_ticket;
     }
   }
   if (!bound_elsewhere) Requeue(end.task, now);
-  if (task->failures >= job->max_attempts && !long_running) {
+  if (static_cast<int>(task->failed_runs.size()) >=
+          job->record.terms.max_attempts &&
+      !long_running) {
     EndJob(*job, JobState::kFailed, now, wall_now);
   }
   return ticket;
@@ -134,14 +139,12 @@
 }
 
 void Dispatcher::TaskFailed(Job& job, const TaskName& name, Task& task,
-                            RunNumber run, const WorkerId& worker,
-                            WallTime /*wall_now*/) {
-  ++task.failures;
-  task.failed_run = run.value();
+                            RunNumber run, const WorkerId& worker) {
+  task.failed_runs.push_back(run.value());
   task.failed_on = worker;
   Note("task failed", name, run, worker,
-       std::to_string(task.failures) + " of " +
-           std::to_string(job.max_attempts) + " attempts");
+       std::to_string(task.failed_runs.size()) + " of " +
+           std::to_string(job.record.terms.max_attempts) + " attempts");
   MarkForRecord(job);
 }
 
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -168,6 +168,11 @@
     superseded_ = true;
     return;
   }
+  if (reply.verdict == OrderVerdict::kOtherIncarnation) {
+    // Only one process has the address, so this worker is gone.
+    LoseRuns(*worker, now, "another worker has its address");
+    worker->lease_until = WorkerTime{};
+  }
   if (reply.verdict != OrderVerdict::kAccepted) {
     ++worker->unanswered;
     const Duration delay = kLeaseRetryDelay * (1 << std::min(
--- a/gypsumfall/dispatch/dispatcher_starts.cc
+++ b/gypsumfall/dispatch/dispatcher_starts.cc
@@ -18,6 +18,9 @@
 constexpr Duration kUnstoredEndDelay = milliseconds(60);
 // Pause before a stop that was not answered is sent again.
 constexpr Duration kStopRetryDelay = milliseconds(400);
+// Tasks that fill are placed in rounds: finding room for them is the dearest
+// decision, and their objectives are long against this.
+constexpr Duration kFillRoundInterval = milliseconds(30);
 // Time that a run stands still before it is moved. Moving costs the restore
 // of its checkpoint.
 constexpr Duration kPauseBeforeMove = milliseconds(800);
@@ -30,20 +33,26 @@
   bool Covers(const StepSpec& spec, const ServiceId& service) const {
     return std::any_of(failed_.begin(), failed_.end(), [&](const Entry& entry) {
       return entry.service == service && entry.fills == spec.fills &&
-             entry.need.FitsIn(spec.need);
+             (!spec.fills || entry.image == spec.image) &&
+              entry.need.FitsIn(spec.need);
     });
   }
   void Add(const StepSpec& spec, const ServiceId& service) {
     const bool constrained = !spec.required_label.empty() ||
                              !spec.data_rack.empty() || spec.same_rack ||
                              spec.max_per_worker > 0 || spec.gang;
-    if (!constrained) failed_.push_back({service, spec.fills, spec.need});
+    if (!constrained) {
+      // Only for tasks that fill the image decides where they fit.
+      failed_.push_back({service, spec.fills,
+                         spec.fills ? spec.image : ImageId(), spec.need});
+    }
   }
 
  private:
   struct Entry {
     ServiceId service;
     bool fills;
+    ImageId image;
     Resources need;
   };
   std::vector<Entry> failed_;
@@ -86,7 +95,9 @@
                      .wait = worker.runs.empty() ? kIdleLeaseWait : kLeaseWait};
     // The first call learns what runs there and does not wait.
     if (!worker.fenced) order.wait = Duration{0};
-    if (worker.clock) {
+    // The lease of a silent worker is left to lapse, so that its runs can go on
+    // elsewhere. It is extended again once the worker has answered.
+    if (worker.clock && worker.unanswered == 0) {
       order.lease_until = ClockNow(worker, now) + settings_.max_lease;
       worker.lease_until = std::max(worker.lease_until, *order.lease_until);
     }
@@ -176,7 +187,7 @@
       continue;
     }
     ranked.push_back(
-        {job->priority, now > job->objective, job->objective, *next});
+        {job->record.terms.priority, now > job->objective, job->objective, *next});
     ++next;
   }
   std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
@@ -192,17 +203,20 @@
 void Dispatcher::AddStartOrders(Time now, std::vector<Order>& orders) {
   if (ready_.empty()) return;
   const bool accounted = AllAccounted();
+  const bool try_fills = now >= next_fill_round_;
+  if (try_fills) next_fill_round_ = now + kFillRoundInterval;
   FailedRequests failed;
   for (const StepRef& ref : OrderOfSteps(now)) {
     const Job& job = *jobs_.Find(ref.job);
     if (job.recovered && !accounted) continue;
     const StepSpec& spec =
         job.record.spec.steps[static_cast<std::size_t>(ref.step)];
-    if (failed.Covers(spec, job.service)) continue;
+    if (spec.fills && !try_fills) continue;
+    if (failed.Covers(spec, job.record.terms.service)) continue;
     if (StartStep(ref, now, orders)) {
       ready_.erase(ref);
     } else {
-      failed.Add(spec, job.service);
+      failed.Add(spec, job.record.terms.service);
     }
   }
 }
@@ -268,7 +282,8 @@
   const Task& task = step.tasks[static_cast<std::size_t>(name.index)];
   PlacementRequest request{.spec = &spec,
                            .step = &step,
-                           .service = job.service,
+                           .image = interference_.IndexOf(spec.image),
+                           .service = job.record.terms.service,
                            .rack = spec.data_rack,
                            .avoid = task.failed_on};
   if (request.rack.empty() && spec.same_rack) request.rack = step.rack;
--- a/gypsumfall/dispatch/interference.cc
+++ b/gypsumfall/dispatch/interference.cc
@@ -1,6 +1,8 @@
 #include "gypsumfall/dispatch/internal/interference.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace gypsumfall::dispatch_internal {
 namespace {
@@ -48,14 +50,17 @@
   return capacity > 0 ? static_cast<double>(cpu.value()) / capacity : 0;
 }
 
-double InterferenceModel::Slope(const ImageId& serving,
-                                const ImageId& filling) const {
-  const auto found = slope_.find({serving, filling});
-  return found == slope_.end() ? kAssumedSlope : found->second;
+std::size_t InterferenceModel::IndexOf(const ImageId& image) {
+  const auto [found, fresh] = indices_.try_emplace(image, indices_.size());
+  if (fresh) {
+    for (auto& row : slope_) row.push_back(kAssumedSlope);
+    slope_.emplace_back(indices_.size(), kAssumedSlope);
+  }
+  return found->second;
 }
 
 void InterferenceModel::Learn(Worker& worker) {
-  std::map<ImageId, double> shares;
+  std::map<std::size_t, double> shares;
   double squared = kInputFloor;
   for (const auto& [task, run] : worker.runs) {
     if (!run.fills) continue;
@@ -75,8 +80,7 @@
     if (censored && predicted < reported) continue;
     const double error = reported - predicted;
     for (const auto& [image, share] : shares) {
-      double& slope =
-          slope_.try_emplace({run.image, image}, kAssumedSlope).first->second;
+      double& slope = slope_[run.image][image];
       slope = std::max(0.0, slope - kSlopeRate * error * share / squared);
     }
     if (!censored) {
@@ -87,21 +91,23 @@
 }
 
 double InterferenceModel::ShortfallAfterPlacing(const Worker& worker,
-                                                const ImageId& filling,
+                                                std::size_t filling,
                                                 MilliCores cpu,
                                                 Time now) const {
-  const double share = ShareOf(worker, cpu);
+  std::vector<std::pair<std::size_t, double>> unreported = {
+      {filling, ShareOf(worker, cpu)}};
+  for (const auto& [task, run] : worker.runs) {
+    if (!run.fills || now >= run.started_at + kReportDelay) continue;
+    unreported.emplace_back(run.image, ShareOf(worker, run.fill_cpu));
+  }
   double shortfall = 0;
   for (const auto& [task, serving] : worker.runs) {
-    if (!IsServing(serving)) continue;
-    double taken = Slope(serving.image, filling) * share;
-    if (taken <= 0) continue;
-    for (const auto& [other, run] : worker.runs) {
-      if (!run.fills || now >= run.started_at + kReportDelay) continue;
-      taken +=
-          Slope(serving.image, run.image) * ShareOf(worker, run.fill_cpu);
+    if (!IsServing(serving) || Slope(serving.image, filling) <= 0) continue;
+    double left = serving.headroom;
+    for (const auto& [image, share] : unreported) {
+      left -= Slope(serving.image, image) * share;
     }
-    shortfall += std::max(0.0, kKeptHeadroom - (serving.headroom - taken));
+    shortfall += std::max(0.0, kKeptHeadroom - left);
   }
   return shortfall;
 }
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -65,9 +65,6 @@
   /// @param epoch fences the orders of all earlier epochs.
   Dispatcher(const DispatchSettings& settings, Epoch epoch, Time now);
 
-  /// Applies the operator's configuration to jobs that come.
-  void SetTopology(Topology topology) { topology_ = std::move(topology); }
-
   /// Restores what earlier epochs have stored; before any other input.
   void RestoreJob(JobRecord record, Time now, WallTime wall_now);
   void RestoreProgress(const JobProgress& progress);
@@ -146,7 +143,7 @@
   void TaskDone(Job& job, const TaskName& name, Task& task);
   void GangDone(Job& job, const TaskName& name);
   void TaskFailed(Job& job, const TaskName& name, Task& task, RunNumber run,
-                  const WorkerId& worker, WallTime wall_now);
+                  const WorkerId& worker);
   void FinishStep(Job& job, const TaskName& name, Time now, WallTime wall_now);
   void EndJob(Job& job, JobState state, Time now, WallTime wall_now);
   void MarkForRecord(Job& job);
@@ -207,11 +204,11 @@
   bool all_accounted_ = false;
   bool superseded_ = false;
 
-  Topology topology_;
   dispatch_internal::JobTable jobs_;
   dispatch_internal::WorkerTable workers_;
   dispatch_internal::InterferenceModel interference_;
   std::set<StepRef> ready_;
+  Time next_fill_round_{};
   /// Times at which further occurrences of jobs are due.
   std::multimap<Time, JobId> due_;
 
--- a/gypsumfall/dispatch/internal/interference.h
+++ b/gypsumfall/dispatch/internal/interference.h
@@ -1,8 +1,9 @@
 #ifndef GYPSUMFALL_DISPATCH_INTERNAL_INTERFERENCE_H_
 #define GYPSUMFALL_DISPATCH_INTERNAL_INTERFERENCE_H_
 
-#include <map>
-#include <utility>
+#include <cstddef>
+#include <unordered_map>
+#include <vector>
 
 #include "gypsumfall/base/base.h"
 #include "gypsumfall/dispatch/internal/worker_table.h"
@@ -25,22 +26,27 @@
 /// run has a headroom of its own, which follows its load.
 class InterferenceModel {
  public:
+  /// @return a small number for the image, the same each time.
+  std::size_t IndexOf(const ImageId& image);
+
   /// Takes in the newest reports of a worker.
   void Learn(Worker& worker);
 
   /// @return the headroom that one worker's whole processors, used by the
   ///   filling image, would take from the serving image; at least 0.
-  double Slope(const ImageId& serving, const ImageId& filling) const;
+  double Slope(std::size_t serving, std::size_t filling) const {
+    return slope_[serving][filling];
+  }
 
   /// @return by how much a run of the image would bring headrooms on the
   ///   worker below what they are to keep, summed over its serving runs.
-  double ShortfallAfterPlacing(const Worker& worker, const ImageId& filling,
+  double ShortfallAfterPlacing(const Worker& worker, std::size_t filling,
                                MilliCores cpu, Time now) const;
 
  private:
-  using Pair = std::pair<ImageId, ImageId>;
-
-  std::map<Pair, double> slope_;
+  std::unordered_map<ImageId, std::size_t> indices_;
+  /// By the index of the serving image, then of the filling one.
+  std::vector<std::vector<double>> slope_;
 };
 
 }  // namespace gypsumfall::dispatch_internal
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -28,9 +28,8 @@
 
 struct Task {
   TaskPhase phase = TaskPhase::kBlocked;
-  int failures = 0;
-  /// Highest run that failed; an end that is listed again counts once.
-  std::uint64_t failed_run = 0;
+  /// Numbers of the runs that failed; an end that is listed again counts once.
+  std::vector<std::uint64_t> failed_runs;
   std::uint64_t last_run = 0;
   Checkpoint checkpoint;
   Time ready_since{};
@@ -57,9 +56,6 @@
 
 struct Job {
   JobRecord record;
-  int priority = 0;
-  int max_attempts = 1;
-  ServiceId service;
   /// Latest completion that is on time.
   Time objective{};
   Time submitted{};
@@ -85,10 +81,8 @@
 class JobTable {
  public:
   /// Adds a job.
-  /// @param queue the job's queue, or null if it was removed meanwhile.
   /// @return the job, or null if the id is known already.
-  Job* Add(JobRecord record, const QueueSettings* queue, Time now,
-           WallTime wall_now);
+  Job* Add(JobRecord record, Time now, WallTime wall_now);
   /// Takes over stored progress of a job that was added.
   void Restore(const JobProgress& progress);
   /// Adds a job that had ended in an earlier epoch.
--- a/gypsumfall/dispatch/internal/placement.h
+++ b/gypsumfall/dispatch/internal/placement.h
@@ -12,6 +12,8 @@
 struct PlacementRequest {
   const StepSpec* spec = nullptr;
   const Step* step = nullptr;
+  /// Index of the step's image in the interference model.
+  std::size_t image = 0;
   ServiceId service;
   /// Only this rack, unless empty.
   RackId rack;
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -40,7 +40,8 @@
   bool fills = false;
   bool long_running = false;
   Duration tail_target{0};
-  ImageId image;
+  /// Index of the image in the interference model.
+  std::size_t image = 0;
   Time started_at{};
   /// Time of the last change of phase. A lease call that was sent later lists
   /// the run if the run exists.
--- a/gypsumfall/dispatch/job_table.cc
+++ b/gypsumfall/dispatch/job_table.cc
@@ -32,21 +32,16 @@
     step.tasks[i].phase = TaskPhase::kDone;
     ++step.done;
   }
-  for (std::size_t i = 0;
-       i < std::min(stored.failures.size(), step.tasks.size()); ++i) {
-    step.tasks[i].failures = stored.failures[i];
-  }
   for (std::size_t i = 0;
        i < std::min(stored.failed_runs.size(), step.tasks.size()); ++i) {
-    step.tasks[i].failed_run = stored.failed_runs[i];
+    step.tasks[i].failed_runs = stored.failed_runs[i];
   }
   if (step.done == static_cast<int>(step.tasks.size())) ++parent.steps_done;
 }
 
 }  // namespace
 
-Job* JobTable::Add(JobRecord record, const QueueSettings* queue, Time now,
-                   WallTime wall_now) {
+Job* JobTable::Add(JobRecord record, Time now, WallTime wall_now) {
   const auto [found, fresh] = jobs_.try_emplace(record.id);
   if (!fresh) return nullptr;
   found->second = std::make_unique<Job>();
@@ -55,16 +50,7 @@
   const Duration age =
       std::max(WallTime{0}, wall_now - job.record.accepted_at);
   job.submitted = now - age;
-  job.objective = job.submitted;
-  if (queue != nullptr) {
-    job.priority = queue->priority;
-    job.max_attempts = queue->max_attempts;
-    job.service = queue->service;
-    const auto chain =
-        static_cast<double>(LongestChain(job.record.spec).count());
-    job.objective += queue->latency_objective +
-                     Duration(static_cast<std::int64_t>(chain * queue->stretch));
-  }
+  job.objective = job.submitted + job.record.terms.objective;
   MakeOccurrences(job, now, wall_now);
   return &job;
 }
@@ -135,18 +121,15 @@
       const Step& step = occurrence.steps[s];
       const bool failed =
           std::any_of(step.tasks.begin(), step.tasks.end(),
-                      [](const Task& task) { return task.failures > 0; });
+                      [](const Task& task) { return !task.failed_runs.empty(); });
       if (step.done == 0 && !failed) continue;
       StepProgress stored{.occurrence = static_cast<int>(k),
                           .step = static_cast<int>(s),
                           .done = {},
-                          .failures = {},
                           .failed_runs = {}};
       for (const Task& task : step.tasks) {
         stored.done += task.phase == TaskPhase::kDone ? '1' : '0';
-        if (!failed) continue;
-        stored.failures.push_back(task.failures);
-        stored.failed_runs.push_back(task.failed_run);
+        if (failed) stored.failed_runs.push_back(task.failed_runs);
       }
       progress.steps.push_back(std::move(stored));
     }
--- a/gypsumfall/dispatch/pacing.cc
+++ b/gypsumfall/dispatch/pacing.cc
@@ -61,7 +61,7 @@
 }
 
 // @return the part of the processors that more of the image may use.
-double AllowedShare(const Worker& worker, const ImageId& image,
+double AllowedShare(const Worker& worker, std::size_t image,
                     const InterferenceModel& model) {
   double allowed = 1;
   for (const auto& [task, serving] : worker.runs) {
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -64,7 +64,7 @@
 }
 
 // @return serving runs of other images on the worker.
-int OtherImages(const Worker& worker, const ImageId& image) {
+int OtherImages(const Worker& worker, std::size_t image) {
   int count = 0;
   for (const auto& [task, run] : worker.runs) {
     if (IsServing(run) && run.image != image) ++count;
@@ -73,15 +73,16 @@
 }
 
 // @return a score of which the lowest is best, or infinity.
-double Score(const Worker& worker, const StepSpec& spec,
+double Score(const Worker& worker, const PlacementRequest& request,
              const InterferenceModel& model, Time now) {
+  const StepSpec& spec = *request.spec;
   if (spec.fills) {
     const double unused = UnusedProcessors(worker);
     if (unused < kLeastFillShare * static_cast<double>(spec.need.cpu.value())) {
       return std::numeric_limits<double>::infinity();
     }
     const double shortfall = model.ShortfallAfterPlacing(
-        worker, spec.image, spec.need.cpu, now);
+        worker, request.image, spec.need.cpu, now);
     if (shortfall > kMostShortfall) {
       return std::numeric_limits<double>::infinity();
     }
@@ -90,7 +91,7 @@
   const auto left =
       static_cast<double>(Free(worker).cpu.value() - spec.need.cpu.value());
   if (!spec.long_running) return left;
-  return kOtherImagePenalty * OtherImages(worker, spec.image) - left;
+  return kOtherImagePenalty * OtherImages(worker, request.image) - left;
 }
 
 bool IsDistrusted(const Worker& worker, Time now) {
@@ -115,7 +116,7 @@
         !AcceptsWork(worker, now)) {
       continue;
     }
-    double score = Score(worker, *request.spec, model, now);
+    double score = Score(worker, request, model, now);
     if (id == request.avoid || IsDistrusted(worker, now)) {
       score += kDistrustPenalty;
     }
--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -19,10 +19,24 @@
   return state >= JobState::kCompleted;
 }
 
+/// What the queue's contract said when the job was accepted. Kept with the
+/// job, since the queue may be removed before the job has ended.
+struct JobTerms {
+  /// Whose workers run the tasks.
+  ServiceId service;
+  /// 0 comes first.
+  int priority = 0;
+  /// Failed runs of a task after which its job has failed.
+  int max_attempts = 1;
+  /// The job is on time if it ends this long after its acceptance.
+  Duration objective{0};
+};
+
 /// An accepted job as it is stored.
 struct JobRecord {
   JobId id;
   QueueId queue;
+  JobTerms terms;
   /// Newest scheduler epoch that the accepting host knew. Run numbers of later
   /// epochs start above those of this one.
   Epoch accepted_in;
@@ -36,11 +50,9 @@
   int step = 0;
   /// One character for each task: '1' if it is done, otherwise '0'.
   std::string done;
-  /// Failed runs of each task; empty if there are none.
-  std::vector<int> failures;
-  /// Highest failed run of each task, so that an end that is listed again is
-  /// not counted again; empty if there are no failures.
-  std::vector<std::uint64_t> failed_runs;
+  /// Numbers of the failed runs of each task, so that an end that is listed
+  /// again is not counted again; empty if no task has failed.
+  std::vector<std::vector<std::uint64_t>> failed_runs;
 };
 
 /// Durable progress of a job. With a final state it replaces the job's record.
--- a/gypsumfall/jobs/internal/topology.h
+++ b/gypsumfall/jobs/internal/topology.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gypsumfall/base/base.h"
+#include "gypsumfall/jobs/internal/job_record.h"
 #include "gypsumfall/jobs/internal/job_spec.h"
 
 namespace gypsumfall {
@@ -42,6 +43,9 @@
   AdviceSettings advice;
 };
 
+/// @return the terms under which a queue takes a job.
+JobTerms TermsOf(const QueueSettings& queue, const JobSpec& spec);
+
 /// Workers that run the tasks of some queues.
 struct ServiceSettings {
   ServiceId id;
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -69,10 +69,19 @@
   Millis(visit, "interval_ms", spec.interval);
 }
 
+template <typename Visitor>
+void Fields(Visitor& visit, Of<JobTerms> auto& terms) {
+  visit("service", terms.service);
+  Sparse(visit, "priority", terms.priority);
+  visit("max_attempts", terms.max_attempts);
+  Millis(visit, "objective_ms", terms.objective);
+}
+
 template <typename Visitor>
 void Fields(Visitor& visit, Of<JobRecord> auto& record) {
   visit("id", record.id);
   visit("queue", record.queue);
+  visit("terms", record.terms);
   visit("accepted_in", record.accepted_in);
   Millis(visit, "accepted_at_ms", record.accepted_at);
   visit("spec", record.spec);
@@ -83,7 +92,6 @@
   Sparse(visit, "occurrence", step.occurrence);
   Sparse(visit, "step", step.step);
   visit("done", step.done);
-  Sparse(visit, "failures", step.failures);
   Sparse(visit, "failed_runs", step.failed_runs);
 }
 
--- a/gypsumfall/jobs/jobs_test.cc
+++ b/gypsumfall/jobs/jobs_test.cc
@@ -25,12 +25,20 @@
 TEST_CASE("a stored job reads back as it was accepted") {
   JobRecord record{.id = JobId("0123456789abcdef"),
                    .queue = QueueId("quotes"),
+                   .terms = {.service = ServiceId("desk"),
+                             .priority = 2,
+                             .max_attempts = 4,
+                             .objective = milliseconds(3200)},
                    .accepted_in = Epoch(3),
                    .accepted_at = WallTime(1'700'000'000'123),
                    .spec = TwoSteps()};
   const Result<JobRecord> back = Decode<JobRecord>(Encode(record));
   REQUIRE(back);
   CHECK(back->id == record.id);
+  CHECK(back->terms.service == ServiceId("desk"));
+  CHECK(back->terms.priority == 2);
+  CHECK(back->terms.max_attempts == 4);
+  CHECK(back->terms.objective == milliseconds(3200));
   CHECK(back->accepted_in == Epoch(3));
   CHECK(back->accepted_at == record.accepted_at);
   CHECK(back->spec.payload == record.spec.payload);
@@ -48,17 +56,18 @@
   JobProgress progress{.id = JobId("a"),
                        .queue = QueueId("q"),
                        .state = JobState::kRunning,
-                       .steps = {{.step = 1, .done = "010", .failures = {}},
+                       .steps = {{.step = 1, .done = "010", .failed_runs = {}},
                                  {.occurrence = 2,
                                   .done = "00",
-                                  .failures = {0, 1}}}};
+                                  .failed_runs = {{}, {1, 3}}}}};
   const Result<JobProgress> back = Decode<JobProgress>(Encode(progress));
   REQUIRE(back);
   REQUIRE(back->steps.size() == 2);
   CHECK(back->steps[0].step == 1);
   CHECK(back->steps[0].done == "010");
   CHECK(back->steps[1].occurrence == 2);
-  CHECK(back->steps[1].failures == std::vector<int>{0, 1});
+  CHECK(back->steps[1].failed_runs ==
+        std::vector<std::vector<std::uint64_t>>{{}, {1, 3}});
 }
 
 TEST_CASE("rows of another writer are refused, not half read") {
--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -121,8 +121,10 @@
 void CallerService::Submit(const std::shared_ptr<Exchange>& exchange) {
   CallerRequest& request = exchange->request;
   const std::optional<DutyRecord>& duty = duty_->lease().record();
+  const QueueSettings* queue = topology_->topology()->FindQueue(request.queue);
   exchange->record = {.id = request.job,
                       .queue = request.queue,
+                      .terms = TermsOf(*queue, request.spec),
                       .accepted_in = duty ? duty->epoch : Epoch(0),
                       .accepted_at = context_.WallNow(),
                       .spec = std::move(request.spec)};
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -48,13 +48,9 @@
 
 Result<void> DispatchService::Start() {
   duty_ = context_.kernel.Find<DutyService>(kDutyService);
-  topology_ = context_.kernel.Find<TopologyService>(kTopologyService);
   worker_list_ = context_.kernel.Find<WorkerListService>(kWorkerListService);
   duty_->on_held = [this] { Begin(); };
   duty_->on_lost = [this] { End(); };
-  topology_->on_change = [this](const Topology& topology) {
-    if (dispatcher_) dispatcher_->SetTopology(topology);
-  };
   worker_list_->on_listed = [this](const WorkerEntry& entry) {
     if (!dispatcher_) return;
     dispatcher_->OnWorkerListed(entry, context_.Now());
@@ -92,9 +88,9 @@
 
 void DispatchService::OnLoaded(Result<StoredState> loaded) {
   const Time now = context_.Now();
-  if (!loaded || !topology_->topology()) {
+  if (!loaded) {
     log_.Warning("the stored state can not be loaded yet",
-                 {{"why", loaded ? "no configuration" : loaded.error().detail}});
+                 {{"why", loaded.error().detail}});
     load_retry_.NotAfter(now + kLoadRetryDelay);
     return;
   }
@@ -106,7 +102,6 @@
       .ended_retention = timings.ended_retention};
   dispatcher_ = std::make_unique<Dispatcher>(
       settings, duty_->lease().record()->epoch, began_at_);
-  dispatcher_->SetTopology(*topology_->topology());
   const WallTime wall_now = context_.WallNow();
   for (JobRecord& job : loaded->jobs) {
     dispatcher_->RestoreJob(std::move(job), now, wall_now);
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -12,7 +12,6 @@
 #include "gypsumfall/scheduler/internal/context.h"
 #include "gypsumfall/scheduler/internal/duty_service.h"
 #include "gypsumfall/scheduler/internal/stored_jobs.h"
-#include "gypsumfall/scheduler/internal/topology_service.h"
 #include "gypsumfall/scheduler/internal/worker_list_service.h"
 
 namespace gypsumfall::scheduler_internal {
@@ -24,7 +23,7 @@
   explicit DispatchService(Context& context);
 
   std::vector<std::string> dependencies() const override {
-    return {kTopologyService, kDutyService, kWorkerListService};
+    return {kDutyService, kWorkerListService};
   }
   Result<void> Start() override;
   void Stop(std::function<void()> stopped) override;
@@ -62,7 +61,6 @@
   Context& context_;
   Logger log_{"dispatch"};
   DutyService* duty_ = nullptr;
-  TopologyService* topology_ = nullptr;
   WorkerListService* worker_list_ = nullptr;
   Timer pump_;
   Timer load_retry_;
--- a/gypsumfall/scheduler/internal/topology_service.h
+++ b/gypsumfall/scheduler/internal/topology_service.h
@@ -22,9 +22,6 @@
   /// @return the configuration, or nothing before the first was read.
   const std::optional<Topology>& topology() const { return topology_; }
 
-  /// Called with each newer configuration.
-  std::function<void(const Topology&)> on_change;
-
  private:
   void ReadRow();
   void AwaitChange();
--- a/gypsumfall/scheduler/topology_service.cc
+++ b/gypsumfall/scheduler/topology_service.cc
@@ -86,7 +86,6 @@
   topology_ = *std::move(topology);
   log_.Info("configuration in force", {{"version", topology_->version},
                                        {"queues", topology_->queues.size()}});
-  if (on_change) on_change(*topology_);
 }
 
 std::string TopologyService::Dump() const {
