Pack long-running tasks tightly, which leaves workers free of serving tasks

Cause: with serving tasks spread over all workers, images that harm each of them found no place. Change: among workers of the same images the fullest is taken.

--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -91,7 +91,7 @@
   const auto left =
       static_cast<double>(Free(worker).cpu.value() - spec.need.cpu.value());
   if (!spec.long_running) return left;
-  return kOtherImagePenalty * OtherImages(worker, request.image) - left;
+  return kOtherImagePenalty * OtherImages(worker, request.image) + left;
 }
 
 bool IsDistrusted(const Worker& worker, Time now) {
