Keep a replaced scheduler's last lease in mind; judge workers by progress

Change: the wait follows from the reason of the claim; only a whole lease without change shortens it. Jobs accepted under an earlier epoch wait for old leases, whoever reported them. Runs that stand still move on, slow workers come last. Refused callers are told to come back after the age of the outage. Ruled out: adoption of runs, the roster, lapsed worker leases (the trace showed epoch_bound without slack).

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -35,7 +35,6 @@
 void Dispatcher::RestoreJob(JobRecord record, Time now, WallTime wall_now) {
   Job* job = jobs_.Add(std::move(record), now, wall_now);
   if (job == nullptr) return;
-  job->recovered = true;
   const std::uint64_t earlier =
       epoch_.value() - std::min(epoch_.value(), job->record.accepted_in.value());
   for (Occurrence& occurrence : job->occurrences) {
--- a/gypsumfall/dispatch/dispatcher_ends.cc
+++ b/gypsumfall/dispatch/dispatcher_ends.cc
@@ -5,15 +5,11 @@
 #include <utility>
 
 #include "gypsumfall/dispatch/dispatch.h"
+#include "gypsumfall/dispatch/internal/worker_health.h"
 
 namespace gypsumfall {
-namespace {
-
-// A done run shows that the worker works; one such run outweighs a failure.
-constexpr double kScoreAfterDone = 0.5;
-
-}  // namespace
-
+using dispatch_internal::NoteDone;
+using dispatch_internal::NoteFailure;
 using dispatch_internal::PendingEnd;
 using dispatch_internal::TaskPhase;
 
@@ -29,6 +25,7 @@
   run.fills = spec.fills;
   run.long_running = spec.long_running;
   run.tail_target = spec.tail_target;
+  run.declared = spec.declared_run_time;
   run.image = interference_.IndexOf(spec.image);
   task.phase = TaskPhase::kBound;
   task.last_run = std::max(task.last_run, run.number.value());
@@ -85,7 +82,7 @@
   const bool bound_elsewhere = task->phase == TaskPhase::kBound && !was_bound;
   const bool long_running = job->spec_of(end.task).long_running;
   if (end.end == RunEnd::kDone && !long_running) {
-    worker.failure_score *= kScoreAfterDone;
+    NoteDone(worker);
     if (bound_elsewhere) {
       for (auto& [id, other] : workers_) {
         if (other.runs.contains(end.task)) {
@@ -103,8 +100,7 @@
   }
   std::uint64_t ticket = 0;
   if (end.end == RunEnd::kFailed) {
-    worker.failure_score += 1;
-    worker.last_failure = now;
+    NoteFailure(worker, now);
     // Ends of two workers may be listed in any order.
     const auto& counted = task->failed_runs;
     if (!long_running && std::find(counted.begin(), counted.end(),
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -7,6 +7,7 @@
 
 #include "gypsumfall/dispatch/dispatch.h"
 #include "gypsumfall/dispatch/internal/pacing.h"
+#include "gypsumfall/dispatch/internal/worker_health.h"
 
 namespace gypsumfall {
 namespace {
@@ -30,6 +31,7 @@
 using dispatch_internal::ClockNow;
 using dispatch_internal::IsLeaseOver;
 using dispatch_internal::IsSilent;
+using dispatch_internal::NoteProgress;
 using dispatch_internal::Stranger;
 using dispatch_internal::TaskPhase;
 
@@ -219,6 +221,7 @@
   worker.pending_ends.clear();
   worker.strangers.clear();
   worker.failure_score = 0;
+  worker.slowness = 1;
 }
 
 void Dispatcher::ApplyRunning(Worker& worker, const LeaseReply& reply,
@@ -242,8 +245,7 @@
       run.phase = RunPhase::kRunning;
       run.changed_at = now;
     }
-    if (report.percent != run.percent) run.progress_at = now;
-    run.percent = report.percent;
+    NoteProgress(worker, run, report.percent, now);
     run.usage = report.usage;
     Task* task = jobs_.FindTask(report.task);
     if (task != nullptr && !report.checkpoint.empty()) {
--- a/gypsumfall/dispatch/dispatcher_starts.cc
+++ b/gypsumfall/dispatch/dispatcher_starts.cc
@@ -6,6 +6,7 @@
 
 #include "gypsumfall/dispatch/dispatch.h"
 #include "gypsumfall/dispatch/internal/placement.h"
+#include "gypsumfall/dispatch/internal/worker_health.h"
 
 namespace gypsumfall {
 namespace {
@@ -63,7 +64,9 @@
 using dispatch_internal::ChooseWorker;
 using dispatch_internal::ClockNow;
 using dispatch_internal::IsSilent;
+using dispatch_internal::NoteFailure;
 using dispatch_internal::PlacementRequest;
+using dispatch_internal::StandsStill;
 using dispatch_internal::Stranger;
 using dispatch_internal::TaskPhase;
 
@@ -73,6 +76,7 @@
   DropLostWorkers(now);
   ReleaseDue(now);
   MovePausedRuns(now);
+  MoveStandingRuns(now);
   AddStopOrders(now, orders);
   AddStartOrders(now, orders);
   AddLeaseOrders(now, orders);
@@ -141,6 +145,18 @@
   }
 }
 
+// Runs that stand still on a worker that seems sound go on elsewhere.
+void Dispatcher::MoveStandingRuns(Time now) {
+  for (auto& [id, worker] : workers_) {
+    if (!worker.fenced || IsSilent(worker, now)) continue;
+    for (auto& [name, run] : worker.runs) {
+      if (!StandsStill(run, now)) continue;
+      NoteFailure(worker, now);
+      WantStop(worker, name, now, "makes no progress");
+    }
+  }
+}
+
 void Dispatcher::AddStopOrder(Worker& worker, const TaskName& name, Run& run,
                               Time now, std::vector<Order>& orders) {
   if (run.phase != RunPhase::kStopWanted || run.stop_open) return;
@@ -208,7 +224,7 @@
   FailedRequests failed;
   for (const StepRef& ref : OrderOfSteps(now)) {
     const Job& job = *jobs_.Find(ref.job);
-    if (job.recovered && !accounted) continue;
+    if (job.record.accepted_in < epoch_ && !accounted) continue;
     const StepSpec& spec =
         job.record.spec.steps[static_cast<std::size_t>(ref.step)];
     if (spec.fills && !try_fills) continue;
--- a/gypsumfall/dispatch/dispatcher_test.cc
+++ b/gypsumfall/dispatch/dispatcher_test.cc
@@ -299,6 +299,31 @@
   CHECK(completed == 30);
 }
 
+// Load pattern: some workers answer well while what they run stands still.
+TEST_CASE("runs on a worker that hangs are finished elsewhere") {
+  TestWorld world(3);
+  world.worker(0).hangs = true;
+  world.Submit(world.Record("a", OneStep(Tasks(24))));
+  world.Advance(seconds(4));
+  CHECK(world.StateOf("a") == JobState::kCompleted);
+  CHECK(world.violations.empty());
+}
+
+// Load pattern: some workers take several times as long for the same work.
+TEST_CASE("a slow worker gets new work only when no other has room") {
+  TestWorld world(3);
+  world.worker(0).slow_by = 8;
+  for (int i = 0; i < 20; ++i) {
+    world.Submit(world.Record("job" + std::to_string(i), OneStep(Tasks(4))));
+    world.Advance(milliseconds(400));
+  }
+  // By now the worker is known; the last jobs all went elsewhere.
+  CHECK(world.RunsOn(0) == 0);
+  for (int i = 10; i < 19; ++i) {
+    CHECK(world.StateOf("job" + std::to_string(i)) == JobState::kCompleted);
+  }
+}
+
 TEST_CASE("a draining worker gets no new work") {
   TestWorld world(2);
   WorkerEntry entry = world.worker(0).entry;
--- a/gypsumfall/dispatch/interference.cc
+++ b/gypsumfall/dispatch/interference.cc
@@ -26,8 +26,9 @@
 // Weight of the newest report in the smoothed headroom.
 constexpr double kSmoothing = 0.6;
 
-// A run that is this young does not show in the reports of the others yet.
-constexpr Duration kReportDelay = milliseconds(1200);
+// Time until a run shows fully in the reports of the others: half a second of
+// measuring, and the interval of the lease calls.
+constexpr Duration kReportDelay = milliseconds(1000);
 // Headroom that serving runs are to keep, for the scatter of reports.
 constexpr double kKeptHeadroom = 1.35;
 
@@ -98,7 +99,10 @@
       {filling, ShareOf(worker, cpu)}};
   for (const auto& [task, run] : worker.runs) {
     if (!run.fills || now >= run.started_at + kReportDelay) continue;
-    unreported.emplace_back(run.image, ShareOf(worker, run.fill_cpu));
+    const double hidden =
+        1 - static_cast<double>((now - run.started_at).count()) /
+                static_cast<double>(kReportDelay.count());
+    unreported.emplace_back(run.image, hidden * ShareOf(worker, run.fill_cpu));
   }
   double shortfall = 0;
   for (const auto& [task, serving] : worker.runs) {
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -180,6 +180,7 @@
   // Orders.
   void AddLeaseOrders(Time now, std::vector<Order>& orders);
   void MovePausedRuns(Time now);
+  void MoveStandingRuns(Time now);
   void AddPaceOrders(Worker& worker, std::vector<Order>& orders);
   void AddStopOrders(Time now, std::vector<Order>& orders);
   void AddStopOrder(Worker& worker, const TaskName& name, Run& run, Time now,
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -59,8 +59,6 @@
   /// Latest completion that is on time.
   Time objective{};
   Time submitted{};
-  /// Accepted in an earlier epoch, so that runs of it may be unknown.
-  bool recovered = false;
   bool started = false;
   /// Decided; becomes visible once it is recorded.
   JobState state = JobState::kQueued;
--- a/gypsumfall/dispatch/internal/test_world.h
+++ b/gypsumfall/dispatch/internal/test_world.h
@@ -24,11 +24,15 @@
 struct ModelWorker {
   struct ModelRun {
     RunNumber number;
+    Time started_at{};
     Time ends_at{};
     RunEnd end = RunEnd::kDone;
-    bool long_running = false;
-    double usage = 0;
     int pace = 100;
+
+    int Percent(Time now) const {
+      return static_cast<int>(100 * (now - started_at) /
+                              (ends_at - started_at));
+    }
   };
 
   WorkerEntry entry;
@@ -43,6 +47,10 @@
   bool carry_out_lost = true;
   /// All that starts here fails.
   bool fails_all = false;
+  /// Its runs stand still and never end.
+  bool hangs = false;
+  /// Its runs take this many times as long.
+  int slow_by = 1;
 
   Epoch fence;
   WorkerTime lease_until{};
@@ -249,8 +257,9 @@
     reply.worker_clock = worker.Clock(now_);
     reply.incarnation = worker.incarnation;
     for (const auto& [name, run] : worker.runs) {
-      const double usage = usage_of ? usage_of(worker, name) : run.usage;
-      reply.running.push_back({name, run.number, {}, 50, usage});
+      const double usage = usage_of ? usage_of(worker, name) : 0;
+      const int percent = worker.hangs ? 0 : run.Percent(now_);
+      reply.running.push_back({name, run.number, {}, percent, usage});
     }
     reply.ended = worker.ended;
     return reply;
@@ -288,8 +297,11 @@
     }
     const int start = ++starts[order.task];
     const auto [length, end] = run_of(order.task, start);
-    worker.runs[order.task] = {order.run, now_ + length,
-                               worker.fails_all ? RunEnd::kFailed : end};
+    worker.runs[order.task] = {
+        .number = order.run,
+        .started_at = now_,
+        .ends_at = now_ + (worker.hangs ? seconds(1000) : length * worker.slow_by),
+        .end = worker.fails_all ? RunEnd::kFailed : end};
     CheckCapacity(worker);
     return OrderVerdict::kAccepted;
   }
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -42,6 +42,7 @@
   Duration tail_target{0};
   /// Index of the image in the interference model.
   std::size_t image = 0;
+  Duration declared{0};
   Time started_at{};
   /// Time of the last change of phase. A lease call that was sent later lists
   /// the run if the run exists.
@@ -121,6 +122,8 @@
   /// Failed runs, halved by each run that is done.
   double failure_score = 0;
   Time last_failure{};
+  /// Run times against declared ones, smoothed.
+  double slowness = 1;
   Time refused_until{};
 };
 
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -3,15 +3,13 @@
 #include <algorithm>
 #include <limits>
 
+#include "gypsumfall/dispatch/internal/worker_health.h"
+
 namespace gypsumfall::dispatch_internal {
 namespace {
 
-// A worker with this score has failed about two runs more than it has done.
-constexpr double kDistrustScore = 1.5;
-// After this time a distrusted worker is tried again.
-constexpr Duration kDistrustTime = seconds(5);
-// Puts distrusted workers behind all others; above any ordinary score.
-constexpr double kDistrustPenalty = 1e6;
+// Puts unfit workers behind all others; above any ordinary score.
+constexpr double kUnfitPenalty = 1e6;
 
 // Share of the processors reserved by long-running tasks that they leave
 // unused on average, and that tasks that fill may therefore expect.
@@ -94,11 +92,6 @@
   return kOtherImagePenalty * OtherImages(worker, request.image) + left;
 }
 
-bool IsDistrusted(const Worker& worker, Time now) {
-  return worker.failure_score > kDistrustScore &&
-         now < worker.last_failure + kDistrustTime;
-}
-
 }  // namespace
 
 bool AcceptsWork(const Worker& worker, Time now) {
@@ -117,9 +110,8 @@
       continue;
     }
     double score = Score(worker, request, model, now);
-    if (id == request.avoid || IsDistrusted(worker, now)) {
-      score += kDistrustPenalty;
-    }
+    score += kUnfitPenalty * Unfitness(worker, now);
+    if (id == request.avoid) score += kUnfitPenalty;
     if (score < best_score) {
       best = &worker;
       best_score = score;
--- a/gypsumfall/duty/duty.cc
+++ b/gypsumfall/duty/duty.cc
@@ -1,5 +1,6 @@
 #include "gypsumfall/duty/duty.h"
 
+#include <array>
 #include <utility>
 
 namespace gypsumfall {
@@ -17,6 +18,13 @@
 
 }  // namespace
 
+std::string_view DutyEndName(DutyEnd end) {
+  static constexpr std::array<std::string_view, 7> kNames = {
+      "not_over",        "no_row",         "released",  "own_row",
+      "holder_replaced", "holder_refuses", "lease_over"};
+  return kNames.at(static_cast<std::size_t>(end));
+}
+
 DutyLease::DutyLease(const DutySettings& settings, EntryHostId self,
                      std::string endpoint, std::string process)
     : settings_(settings),
@@ -47,17 +55,22 @@
 
 void DutyLease::OnHolderReplaced() { replaced_ = true; }
 
-bool DutyLease::IsOver(Time now) const {
-  if (!record_ || record_->released || replaced_) return true;
+DutyEnd DutyLease::EndOf(Time now) const {
+  if (!record_) return DutyEnd::kNoRow;
+  if (record_->released) return DutyEnd::kReleased;
   // Either an earlier process of this host, or a claim of this process whose
   // answer was lost; neither orders workers.
-  if (record_->holder == self_) return true;
-  if (refusals_ >= settings_.refusals_until_gone) return true;
-  if (last_read_failure_ &&
-      now < *last_read_failure_ + settings_.outage_grace) {
-    return false;
+  if (record_->holder == self_) return DutyEnd::kOwnRow;
+  if (replaced_) return DutyEnd::kHolderReplaced;
+  const bool outage = last_read_failure_ &&
+                      now < *last_read_failure_ + settings_.outage_grace;
+  if (!outage && now >= unchanged_since_ + settings_.lease + kLeaseMargin) {
+    return DutyEnd::kLeaseOver;
   }
-  return now >= unchanged_since_ + settings_.lease + kLeaseMargin;
+  if (refusals_ >= settings_.refusals_until_gone) {
+    return DutyEnd::kHolderRefuses;
+  }
+  return DutyEnd::kNotOver;
 }
 
 Duration DutyLease::ClaimDelay() const {
@@ -68,28 +81,30 @@
 }
 
 std::optional<DutyClaim> DutyLease::Claim(Time now) const {
-  if (held_ || !known_ || !IsOver(now)) return std::nullopt;
+  if (held_ || !known_) return std::nullopt;
+  const DutyEnd reason = EndOf(now);
+  if (reason == DutyEnd::kNotOver) return std::nullopt;
   if (now < unchanged_since_ + ClaimDelay()) return std::nullopt;
   DutyRecord record{.holder = self_,
                     .endpoint = endpoint_,
                     .process = process_,
                     .epoch = record_ ? record_->epoch.Next() : Epoch(1)};
-  return DutyClaim{std::move(record), version_};
+  return DutyClaim{std::move(record), version_, reason};
 }
 
-void DutyLease::OnStored(const DutyRecord& record, RowVersion version,
+void DutyLease::OnStored(const DutyClaim& claim, RowVersion version,
                          Time sent) {
   if (!held_) {
-    // A holder that did not answer, or that was cut off, may have acted until
-    // its lease was over.
-    const bool known_gone = !record_ || record_->released || replaced_ ||
-                            record_->holder == self_ ||
-                            sent >= unchanged_since_ + settings_.lease;
-    predecessor_slack_ = known_gone ? Duration{0} : settings_.lease;
+    // Unless a whole lease has passed, the holder or one shortly before it may
+    // act on: a cut refuses connections too, and a holder that took over by
+    // that sign may have been replaced or have given the duty back since.
+    const bool waited = claim.reason == DutyEnd::kLeaseOver ||
+                        claim.reason == DutyEnd::kNoRow;
+    predecessor_slack_ = waited ? Duration{0} : settings_.lease;
   }
-  held_ = !record.released;
+  held_ = !claim.record.released;
   known_ = true;
-  record_ = record;
+  record_ = claim.record;
   version_ = version;
   valid_until_ = sent + settings_.lease;
 }
--- a/gypsumfall/duty/duty.h
+++ b/gypsumfall/duty/duty.h
@@ -13,13 +13,14 @@
 ///   DutyLease duty({}, EntryHostId("entry-1"), "10.0.0.1:7000", process);
 ///   duty.Observe(row, version, now);
 ///   if (auto claim = duty.Claim(now)) { /* put claim->record */ }
-///   duty.OnStored(version, sent);
+///   duty.OnStored(*claim, version, sent);
 ///   if (duty.IsHeld(now)) { /* order workers */ }
 /// @endcode
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "gypsumfall/base/base.h"
 #include "gypsumfall/jobs/jobs.h"
@@ -36,10 +37,30 @@
   int refusals_until_gone = 2;
 };
 
+/// Why the duty of another holder counts as over.
+enum class DutyEnd {
+  kNotOver,
+  kNoRow,
+  kReleased,
+  /// The row names this host, which does not schedule.
+  kOwnRow,
+  /// Another process answers at the holder's address.
+  kHolderReplaced,
+  /// The holder's address refuses connections.
+  kHolderRefuses,
+  /// The row did not change for a whole lease.
+  kLeaseOver,
+};
+
+/// @return a fixed name such as "lease_over".
+std::string_view DutyEndName(DutyEnd end);
+
 /// A row to put, if the stored one still has the version.
 struct DutyClaim {
   DutyRecord record;
   RowVersion expected;
+  /// Why a claim is made; not used for renewals.
+  DutyEnd reason = DutyEnd::kNotOver;
 };
 
 /// One host's view of the duty.
@@ -63,9 +84,9 @@
   /// @return the row to put if this host should take over.
   std::optional<DutyClaim> Claim(Time now) const;
   /// A claim or renewal was stored.
-  /// @param record what was stored.
+  /// @param claim what was stored.
   /// @param sent when it was sent.
-  void OnStored(const DutyRecord& record, RowVersion version, Time sent);
+  void OnStored(const DutyClaim& claim, RowVersion version, Time sent);
   /// The duty was lost or a claim failed; the row has to be read again.
   void OnLost();
 
@@ -87,7 +108,7 @@
   Duration predecessor_slack() const { return predecessor_slack_; }
 
  private:
-  bool IsOver(Time now) const;
+  DutyEnd EndOf(Time now) const;
   Duration ClaimDelay() const;
 
   DutySettings settings_;
--- a/gypsumfall/duty/duty_test.cc
+++ b/gypsumfall/duty/duty_test.cc
@@ -82,11 +82,40 @@
   host.OnHolderRefused(kStart + milliseconds(300));
   const auto claim = host.Claim(kStart + milliseconds(400));
   REQUIRE(claim);
-  host.OnStored(claim->record, RowVersion(6), kStart + milliseconds(400));
+  host.OnStored(*claim, RowVersion(6), kStart + milliseconds(400));
   // A cut can refuse connections too while the holder goes on.
   CHECK(host.predecessor_slack() == seconds(3));
 }
 
+// The claim's own row may be read before the answer to the claim. The host then
+// took itself for the predecessor and did not wait for the leases of the one
+// before, which was only cut off.
+TEST_CASE("a row that is read while the claim is open does not shorten the wait") {
+  DutyLease host = Host("a");
+  host.Observe(HeldBy("b"), RowVersion(5), kStart);
+  host.OnHolderRefused(kStart + milliseconds(200));
+  host.OnHolderRefused(kStart + milliseconds(300));
+  const auto claim = host.Claim(kStart + milliseconds(400));
+  REQUIRE(claim);
+  host.Observe(claim->record, RowVersion(6), kStart + milliseconds(410));
+  host.OnStored(*claim, RowVersion(6), kStart + milliseconds(400));
+  CHECK(host.predecessor_slack() == seconds(3));
+}
+
+TEST_CASE("only a whole lease without change shows that nobody acts any more") {
+  DutyLease waited = Host("a");
+  waited.Observe(HeldBy("b"), RowVersion(5), kStart);
+  const Time later = kStart + milliseconds(3500);
+  waited.OnStored(*waited.Claim(later), RowVersion(6), later);
+  CHECK(waited.predecessor_slack() == Duration{0});
+
+  DutyLease own_row = Host("a", "p2");
+  own_row.Observe(HeldBy("a", "p1"), RowVersion(5), kStart);
+  const Time soon = kStart + milliseconds(200);
+  own_row.OnStored(*own_row.Claim(soon), RowVersion(6), soon);
+  CHECK(own_row.predecessor_slack() == seconds(3));
+}
+
 TEST_CASE("refusals far apart do not add up") {
   DutyLease host = Host("a");
   host.Observe(HeldBy("b"), RowVersion(5), kStart);
@@ -99,7 +128,7 @@
   DutyLease host = Host("a");
   host.Observe(std::nullopt, RowVersion(0), kStart);
   const auto claim = host.Claim(kStart + seconds(1));
-  host.OnStored(claim->record, RowVersion(1), kStart + seconds(1));
+  host.OnStored(*claim, RowVersion(1), kStart + seconds(1));
   CHECK(host.IsHeld(kStart + milliseconds(3999)));
   CHECK_FALSE(host.IsHeld(kStart + milliseconds(4000)));
   CHECK(host.has_duty());
@@ -107,14 +136,14 @@
   CHECK(renewal.record.epoch == claim->record.epoch);
   CHECK(renewal.record.renewal == 1);
   CHECK(renewal.expected == RowVersion(1));
-  host.OnStored(renewal.record, RowVersion(2), kStart + seconds(5));
+  host.OnStored(renewal, RowVersion(2), kStart + seconds(5));
   CHECK(host.IsHeld(kStart + seconds(6)));
 }
 
 TEST_CASE("a lost duty is claimed again only after it was read") {
   DutyLease host = Host("a");
   host.Observe(std::nullopt, RowVersion(0), kStart);
-  host.OnStored(host.Claim(kStart + seconds(1))->record, RowVersion(1),
+  host.OnStored(*host.Claim(kStart + seconds(1)), RowVersion(1),
                 kStart + seconds(1));
   host.OnLost();
   CHECK_FALSE(host.IsHeld(kStart + seconds(1)));
--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -18,9 +18,13 @@
 constexpr Duration kPeerTimeout = milliseconds(600);
 constexpr Duration kReadTimeout = milliseconds(500);
 constexpr Duration kRetryDelay = milliseconds(60);
-// A refusal of the store or the lack of a scheduler passes within about this
-// time; callers that come back earlier would be refused again.
-constexpr Duration kRetryAfter = seconds(1);
+// Bounds of the time after which a refused caller may come back. In between it
+// is the age of the outage: one that has lasted longer goes on for longer, and
+// the few tries that a caller has reach further.
+constexpr Duration kLeastRetryAfter = seconds(1);
+constexpr Duration kMostRetryAfter = seconds(4);
+// Refusals further apart than this belong to two outages.
+constexpr Duration kOutageGap = seconds(2);
 constexpr Duration kStopGrace = seconds(3);
 
 std::string_view AnswerName(CallerAnswer::Kind kind) {
@@ -270,9 +274,15 @@
 }
 
 void CallerService::TryLater(Exchange& exchange, std::string detail) {
-  Answer(exchange, {.kind = CallerAnswer::Kind::kTryLater,
-                    .detail = std::move(detail),
-                    .retry_after = kRetryAfter});
+  const Time now = context_.Now();
+  if (now > last_refusal_ + kOutageGap) outage_since_ = now;
+  last_refusal_ = now;
+  Answer(exchange,
+         {.kind = CallerAnswer::Kind::kTryLater,
+          .detail = std::move(detail),
+          .retry_after = std::clamp<Duration>(now - outage_since_,
+                                              kLeastRetryAfter,
+                                              kMostRetryAfter)});
 }
 
 void CallerService::Answer(Exchange& exchange, const CallerAnswer& answer) {
--- a/gypsumfall/scheduler/duty_service.cc
+++ b/gypsumfall/scheduler/duty_service.cc
@@ -118,6 +118,7 @@
   claiming_ = true;
   log_.Info("claiming the duty",
             {{"epoch", claim->record.epoch},
+             {"why", DutyEndName(claim->reason)},
              {"holder", lease_.record() ? lease_.record()->holder.str() : ""},
              {"row_version", claim->expected}});
   RowTransaction transaction{
@@ -129,7 +130,7 @@
       [this, claim = *claim, sent = now](const TransactionReply& reply) {
         claiming_ = false;
         if (reply.outcome == StoreOutcome::kDone) {
-          lease_.OnStored(claim.record, reply.version, sent);
+          lease_.OnStored(claim, reply.version, sent);
           last_stored_ = sent;
           log_.Info("duty held", {{"epoch", claim.record.epoch}});
           on_held();
@@ -150,7 +151,7 @@
   rows.conditions.push_back({Address(), renewal.expected});
   rows.writes.push_back({Address(), Encode(renewal.record)});
   storing_ = Storing{.transaction = std::move(rows),
-                     .record = std::move(renewal.record),
+                     .renewal = std::move(renewal),
                      .stored = std::move(stored),
                      .first_sent = context_.Now()};
   Send();
@@ -160,10 +161,10 @@
   if (!storing_) return;
   context_.ports.store.transact(
       storing_->transaction, kStoreTimeout,
-      [this, renewal = storing_->record.renewal,
-       epoch = storing_->record.epoch](const TransactionReply& reply) {
-        const bool current = storing_ && storing_->record.renewal == renewal &&
-                             storing_->record.epoch == epoch;
+      [this, renewal = storing_->renewal.record.renewal,
+       epoch = storing_->renewal.record.epoch](const TransactionReply& reply) {
+        const bool current = storing_ && storing_->renewal.record.renewal == renewal &&
+                             storing_->renewal.record.epoch == epoch;
         if (current) OnReply(reply);
       });
 }
@@ -177,7 +178,7 @@
     // An earlier attempt without an answer may have been carried out.
     for (const StoredRow& row : reply.current) {
       const Result<DutyRecord> record = Decode<DutyRecord>(row.value);
-      if (row.address == Address() && record && *record == storing_->record) {
+      if (row.address == Address() && record && *record == storing_->renewal.record) {
         Finish(row.version);
         return;
       }
@@ -202,7 +203,7 @@
     log_.Info("store takes the scheduler's rows again",
               {{"failures", done.failures}});
   }
-  lease_.OnStored(done.record, version, done.first_sent);
+  lease_.OnStored(done.renewal, version, done.first_sent);
   last_stored_ = done.first_sent;
   done.stored();
 }
--- a/gypsumfall/scheduler/internal/caller_service.h
+++ b/gypsumfall/scheduler/internal/caller_service.h
@@ -54,6 +54,9 @@
   PeerService* peers_ = nullptr;
   std::unique_ptr<Server> server_;
   LatencyHistogram& answer_time_;
+  /// Since when callers are refused, and when the latest was.
+  Time outage_since_{};
+  Time last_refusal_{};
 };
 
 }  // namespace gypsumfall::scheduler_internal
--- a/gypsumfall/scheduler/internal/duty_service.h
+++ b/gypsumfall/scheduler/internal/duty_service.h
@@ -50,7 +50,7 @@
  private:
   struct Storing {
     RowTransaction transaction;
-    DutyRecord record;
+    DutyClaim renewal;
     std::function<void()> stored;
     Time first_sent;
     int failures = 0;
