Bound the log, never block on it, and serve metrics on their own address

Cause: a log line for each decision may cost more than the work under load, and a reader that stops would have stopped the scheduler. Change: at most 1,000 info lines a second (a setting), the rest counted; writes to standard output do not wait; metrics and dump at listen_metrics.

--- a/gypsumfall/scheduler/internal/context.h
+++ b/gypsumfall/scheduler/internal/context.h
@@ -20,6 +20,7 @@
 inline constexpr const char* kPeerService = "peers";
 inline constexpr const char* kCallerService = "callers";
 inline constexpr const char* kHealthService = "health";
+inline constexpr const char* kMetricsService = "metrics";
 
 // Tables of the scheduler. All rows that the scheduling host writes are in one
 // part, because a transaction covers one part only and each of its
--- a/gypsumfall/scheduler/internal/peer_service.h
+++ b/gypsumfall/scheduler/internal/peer_service.h
@@ -11,8 +11,7 @@
 namespace gypsumfall::scheduler_internal {
 
 /// Reaches the scheduling host from any host: directly if it is this one,
-/// otherwise over HTTP. Serves the calls of the other hosts, the metrics and
-/// the dump.
+/// otherwise over HTTP. Serves the calls of the other hosts.
 class PeerService : public Service {
  public:
   explicit PeerService(Context& context);
--- a/gypsumfall/scheduler/peer_service.cc
+++ b/gypsumfall/scheduler/peer_service.cc
@@ -28,10 +28,6 @@
   };
 }
 
-HttpResponse TextResponse(std::string body) {
-  return {.body = std::move(body), .content_type = "text/plain"};
-}
-
 }  // namespace
 
 PeerService::PeerService(Context& context)
@@ -136,11 +132,7 @@
 }
 
 void PeerService::Serve(const HttpRequest& request, Responder respond) {
-  if (request.path == "/metrics") {
-    respond(TextResponse(context_.metrics.Export()));
-  } else if (request.path == "/dump") {
-    respond(TextResponse(context_.kernel.Dump()));
-  } else if (!request.path.starts_with("/scheduler/v1/")) {
+  if (!request.path.starts_with("/scheduler/v1/")) {
     respond(ErrorResponse(ErrorKind::kNotFound, request.path));
   } else if (!dispatch_->is_scheduling()) {
     respond({.status = kNotScheduling, .body = context_.process});
--- a/gypsumfall/scheduler/scheduler.cc
+++ b/gypsumfall/scheduler/scheduler.cc
@@ -1,5 +1,7 @@
 #include "gypsumfall/scheduler/scheduler.h"
 
+#include <unistd.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -13,6 +15,7 @@
 #include "gypsumfall/scheduler/internal/dispatch_service.h"
 #include "gypsumfall/scheduler/internal/duty_service.h"
 #include "gypsumfall/scheduler/internal/health_service.h"
+#include "gypsumfall/scheduler/internal/metrics_service.h"
 #include "gypsumfall/scheduler/internal/peer_service.h"
 #include "gypsumfall/scheduler/internal/topology_service.h"
 #include "gypsumfall/scheduler/internal/worker_list_service.h"
@@ -50,6 +53,7 @@
     Register<PeerService>(kPeerService);
     Register<CallerService>(kCallerService);
     Register<HealthService>(kHealthService);
+    Register<MetricsService>(kMetricsService);
     const Result<void> started = kernel_.Start();
     if (!started) {
       log_.Error("could not start", {{"why", started.error().detail}});
@@ -115,7 +119,10 @@
                  const MakePorts& make_ports) {
   // The peer may have closed a connection that is written to.
   std::signal(SIGPIPE, SIG_IGN);
-  SetUpLogging({.level = settings.logging.level, .stream = &std::cout});
+  SetUpLogging({.level = settings.logging.level,
+                .descriptor = STDOUT_FILENO,
+                .max_lines_per_second = static_cast<int>(
+                    settings.logging.max_lines_per_second)});
   SchedulerHost host(settings, make_ports);
   return host.Run();
 }
--- a/gypsumfall/settings/internal/entry_settings.h
+++ b/gypsumfall/settings/internal/entry_settings.h
@@ -70,6 +70,8 @@
 /// Section [logging].
 struct LoggingSettings {
   LogLevel level = LogLevel::kInfo;
+  /// Info lines of one second beyond this are dropped and counted.
+  std::int64_t max_lines_per_second = 1000;
 };
 
 /// All settings of one entry host process.
--- a/gypsumfall/settings/internal/scheduler_settings.h
+++ b/gypsumfall/settings/internal/scheduler_settings.h
@@ -17,8 +17,10 @@
   Endpoint listen_callers;
   /// The balancer's health checks.
   Endpoint listen_health;
-  /// Calls of other scheduling hosts, metrics and dumps.
+  /// Calls of other scheduling hosts.
   Endpoint listen_peers;
+  /// Metrics and dumps.
+  Endpoint listen_metrics;
 };
 
 /// Section [platform] of a scheduling host.
--- a/gypsumfall/settings/scheduler_settings.cc
+++ b/gypsumfall/settings/scheduler_settings.cc
@@ -31,7 +31,9 @@
           MakeField("listen_health", kRequired, host.listen_health,
                     ParseEndpoint, "10.0.0.1:7001"),
           MakeField("listen_peers", kRequired, host.listen_peers, ParseEndpoint,
-                    "10.0.0.1:7002")};
+                    "10.0.0.1:7002"),
+          MakeField("listen_metrics", kRequired, host.listen_metrics,
+                    ParseEndpoint, "10.0.0.1:9464")};
 }
 
 std::vector<Field> Fields(SchedulerPlatformSettings& platform) {
--- a/gypsumfall/telemetry/log.cc
+++ b/gypsumfall/telemetry/log.cc
@@ -1,13 +1,20 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
 #include <boost/date_time/posix_time/posix_time_types.hpp>
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/make_shared.hpp>
+#include <chrono>
 #include <iostream>
 #include <ostream>
 #include <string>
@@ -44,6 +51,74 @@
   line += '"';
 }
 
+std::atomic<std::uint64_t> dropped_lines = 0;
+
+/// Admits a bounded number of lines in each second.
+class LineBudget {
+ public:
+  void SetLimit(int lines_per_second) { limit_ = lines_per_second; }
+
+  /// @return whether a line may be written now.
+  bool Take(std::chrono::steady_clock::time_point now) {
+    if (limit_ <= 0) return true;
+    if (now >= second_begins_ + std::chrono::seconds(1)) {
+      second_begins_ = now;
+      taken_ = 0;
+    }
+    return taken_++ < limit_;
+  }
+
+ private:
+  int limit_ = 0;
+  int taken_ = 0;
+  std::chrono::steady_clock::time_point second_begins_;
+};
+
+LineBudget& Budget() {
+  static LineBudget budget;
+  return budget;
+}
+
+/// Writes lines to a descriptor and never waits for its reader.
+class DescriptorBackend
+    : public sinks::basic_formatted_sink_backend<char,
+                                                 sinks::synchronized_feeding> {
+ public:
+  explicit DescriptorBackend(int descriptor) : descriptor_(descriptor) {
+    const int flags = fcntl(descriptor, F_GETFL);
+    fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+  }
+
+  void consume(const boost::log::record_view& /*record*/,
+               const std::string& line) {
+    rest_ += line;
+    rest_ += '\n';
+    const ssize_t written = ::write(descriptor_, rest_.data(), rest_.size());
+    if (written > 0) rest_.erase(0, static_cast<std::size_t>(written));
+    // The rest of a line that was begun is kept, so that lines stay whole.
+    const std::size_t line_end = rest_.find('\n');
+    if (line_end == std::string::npos) return;
+    const auto dropped =
+        std::count(rest_.begin() + static_cast<std::ptrdiff_t>(line_end) + 1,
+                   rest_.end(), '\n');
+    dropped_lines += static_cast<std::uint64_t>(dropped);
+    rest_.resize(line_end + 1);
+  }
+
+ private:
+  int descriptor_;
+  std::string rest_;
+};
+
+template <typename SinkPointer>
+void SetFormat(const SinkPointer& sink) {
+  sink->set_formatter(expr::stream
+                      << "time="
+                      << expr::format_date_time<boost::posix_time::ptime>(
+                             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
+                      << ' ' << expr::smessage);
+}
+
 boost::shared_ptr<Sink> MakeSink(std::ostream& stream) {
   auto backend = boost::make_shared<sinks::text_ostream_backend>();
   // The stream belongs to the caller.
@@ -51,11 +126,7 @@
       boost::shared_ptr<std::ostream>(&stream, [](std::ostream*) {}));
   backend->auto_flush(true);
   auto sink = boost::make_shared<Sink>(backend);
-  sink->set_formatter(expr::stream
-                      << "time="
-                      << expr::format_date_time<boost::posix_time::ptime>(
-                             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
-                      << ' ' << expr::smessage);
+  SetFormat(sink);
   return sink;
 }
 
@@ -70,12 +141,28 @@
     const auto level = boost::log::extract<LogLevel>("Severity", values);
     return !level.empty() && level.get() >= lowest;
   });
+  Budget().SetLimit(settings.max_lines_per_second);
+  if (settings.descriptor >= 0) {
+    using DescriptorSink = sinks::synchronous_sink<DescriptorBackend>;
+    const auto sink = boost::make_shared<DescriptorSink>(
+        boost::make_shared<DescriptorBackend>(settings.descriptor));
+    SetFormat(sink);
+    core->add_sink(sink);
+    return;
+  }
   core->add_sink(
       MakeSink(settings.stream == nullptr ? std::clog : *settings.stream));
 }
 
+std::uint64_t DroppedLogLines() { return dropped_lines; }
+
 void Logger::Write(LogLevel level, std::string_view message,
                    LogFields fields) const {
+  if (level < LogLevel::kWarning &&
+      !Budget().Take(std::chrono::steady_clock::now())) {
+    ++dropped_lines;
+    return;
+  }
   boost::log::sources::severity_logger<LogLevel> source(
       boost::log::keywords::severity = level);
   boost::log::record record =
--- a/gypsumfall/telemetry/telemetry.h
+++ b/gypsumfall/telemetry/telemetry.h
@@ -38,11 +38,21 @@
   LogLevel level = LogLevel::kInfo;
   /// Where lines go; standard error if null. Must outlive the process's logs.
   std::ostream* stream = nullptr;
+  /// File descriptor to write to instead of a stream; a line that would block
+  /// is dropped. -1 if a stream is used.
+  int descriptor = -1;
+  /// Debug and info lines in one second beyond this are dropped; 0 means no
+  /// bound. Warnings and errors are always written.
+  int max_lines_per_second = 0;
 };
 
 /// Sets up the process's log. A second call replaces the first.
 void SetUpLogging(const LogSettings& settings);
 
+/// @return lines that were dropped since the start, because of the bound or
+///   because writing them would have blocked.
+std::uint64_t DroppedLogLines();
+
 /// Types with a stream operator.
 template <typename T>
 concept Streamable = requires(std::ostream& out, const T& value) {
--- a/gypsumfall/telemetry/telemetry_test.cc
+++ b/gypsumfall/telemetry/telemetry_test.cc
@@ -1,5 +1,8 @@
 #include "gypsumfall/telemetry/telemetry.h"
 
+#include <unistd.h>
+
+#include <array>
 #include <catch2/catch.hpp>
 #include <sstream>
 #include <string>
@@ -101,5 +104,50 @@
   }
 }
 
+TEST_CASE("info lines beyond the bound are dropped and counted") {
+  std::ostringstream out;
+  SetUpLogging({.stream = &out, .max_lines_per_second = 5});
+  const std::uint64_t before = DroppedLogLines();
+  const Logger log("test");
+  for (int i = 0; i < 20; ++i) log.Info("a line", {{"number", i}});
+  log.Warning("a warning");
+  SetUpLogging({});
+  CHECK(DroppedLogLines() - before == 15);
+  CHECK(out.str().find("number=4") != std::string::npos);
+  CHECK(out.str().find("number=5") == std::string::npos);
+  CHECK(out.str().find("a warning") != std::string::npos);
+}
+
+TEST_CASE("a reader that does not read never blocks the log") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  SetUpLogging({.descriptor = ends[1]});
+  const std::uint64_t before = DroppedLogLines();
+  const Logger log("test");
+  const std::string text(1000, 'x');
+  for (int i = 0; i < 500; ++i) log.Info(text, {{"number", i}});
+  const std::uint64_t dropped = DroppedLogLines() - before;
+  CHECK(dropped > 0);
+  // What gets through is whole lines.
+  std::string read_back(1 << 20, '\0');
+  const ssize_t size = read(ends[0], read_back.data(), read_back.size());
+  REQUIRE(size > 0);
+  read_back.resize(static_cast<std::size_t>(size));
+  std::istringstream lines(read_back);
+  std::string line;
+  int whole = 0;
+  while (std::getline(lines, line)) {
+    if (line.starts_with("time=") && line.size() > 1000) ++whole;
+  }
+  // One line may be held back until the rest of it can be written.
+  const auto written = static_cast<std::uint64_t>(whole);
+  CHECK(written > 0);
+  CHECK(written + dropped >= 499);
+  CHECK(written + dropped <= 500);
+  SetUpLogging({});
+  close(ends[0]);
+  close(ends[1]);
+}
+
 }  // namespace
 }  // namespace gypsumfall
