--- /dev/null
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -0,0 +1,327 @@
+#ifndef GYPSUMFALL_SCHEDULER_INTERNAL_FAKE_PORTS_H_
+#define GYPSUMFALL_SCHEDULER_INTERNAL_FAKE_PORTS_H_
+
+// For tests of this library only: a table service and workers in memory, and a
+// scheduling host around them.
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "gypsumfall/scheduler/internal/caller_service.h"
+#include "gypsumfall/scheduler/internal/dispatch_service.h"
+#include "gypsumfall/scheduler/internal/duty_service.h"
+#include "gypsumfall/scheduler/internal/peer_service.h"
+#include "gypsumfall/scheduler/internal/topology_service.h"
+#include "gypsumfall/scheduler/internal/worker_list_service.h"
+
+namespace gypsumfall::scheduler_internal {
+
+/// A table service in memory whose transactions can go wrong.
+class FakeStore {
+ public:
+  enum class Fault {
+    kNone,
+    /// Nothing is done, and the caller is told so.
+    kDown,
+    /// Done, and the answer is lost.
+    kAnswerLost,
+    /// Not done, and there is no answer.
+    kCallLost,
+  };
+
+  explicit FakeStore(boost::asio::io_context& io) : io_(io) {}
+
+  /// Fault of the next transactions; counts down to none.
+  void Break(Fault fault, int count) {
+    fault_ = fault;
+    faults_left_ = count;
+  }
+
+  void Put(const RowAddress& address, const std::string& value) {
+    rows_[Key(address)] = {address, value, RowVersion(++version_)};
+  }
+  const StoredRow* Find(const RowAddress& address) const {
+    const auto found = rows_.find(Key(address));
+    return found == rows_.end() ? nullptr : &found->second;
+  }
+
+  RowStore Port() {
+    RowStore port;
+    port.transact = [this](const RowTransaction& transaction, Duration,
+                           UniqueFunction<TransactionReply> done) {
+      Post([done = std::move(done),
+            reply = Transact(transaction)]() mutable { done(reply); });
+    };
+    port.read = [this](const RowRange& range, Duration,
+                       UniqueFunction<RowPage> done) {
+      Post([done = std::move(done), page = Read(range)]() mutable {
+        done(page);
+      });
+    };
+    port.changes = [this](const std::string& table, RowVersion after, Duration,
+                          Duration, UniqueFunction<RowPage> done) {
+      RowPage page{.outcome = StoreOutcome::kDone,
+                   .rows = {},
+                   .version = RowVersion(version_)};
+      for (const auto& [key, row] : rows_) {
+        if (row.address.table == table && row.version > after) {
+          page.rows.push_back(row);
+        }
+      }
+      Post([done = std::move(done), page]() mutable { done(page); });
+    };
+    return port;
+  }
+
+ private:
+  using RowKey = std::tuple<std::string, std::string, std::string>;
+
+  static RowKey Key(const RowAddress& address) {
+    return {address.table, address.part, address.key};
+  }
+
+  template <typename Work>
+  void Post(Work work) {
+    boost::asio::post(io_, std::move(work));
+  }
+
+  TransactionReply Transact(const RowTransaction& transaction) {
+    Fault fault = Fault::kNone;
+    if (faults_left_ > 0) {
+      --faults_left_;
+      fault = fault_;
+    }
+    if (fault == Fault::kDown) return {StoreOutcome::kNotDone, {}, {}};
+    if (fault == Fault::kCallLost) return {StoreOutcome::kUnknown, {}, {}};
+    const TransactionReply reply = Apply(transaction);
+    if (fault == Fault::kAnswerLost) return {StoreOutcome::kUnknown, {}, {}};
+    return reply;
+  }
+
+  TransactionReply Apply(const RowTransaction& transaction) {
+    TransactionReply reply{StoreOutcome::kDone, {}, {}};
+    for (const RowCondition& condition : transaction.conditions) {
+      const StoredRow* row = Find(condition.address);
+      const RowVersion version = row == nullptr ? RowVersion(0) : row->version;
+      if (row != nullptr) reply.current.push_back(*row);
+      if (version != condition.version) reply.outcome = StoreOutcome::kConflict;
+    }
+    if (reply.outcome == StoreOutcome::kConflict) return reply;
+    reply.version = RowVersion(++version_);
+    for (const RowWrite& write : transaction.writes) {
+      rows_[Key(write.address)] = {write.address, write.value, reply.version};
+    }
+    for (const RowAddress& address : transaction.removals) {
+      rows_.erase(Key(address));
+    }
+    return reply;
+  }
+
+  RowPage Read(const RowRange& range) {
+    RowPage page{.outcome = StoreOutcome::kDone,
+                 .rows = {},
+                 .version = RowVersion(version_)};
+    for (const auto& [key, row] : rows_) {
+      if (row.address.table == range.table && row.address.part == range.part &&
+          row.address.key >= range.from) {
+        page.rows.push_back(row);
+      }
+    }
+    return page;
+  }
+
+  boost::asio::io_context& io_;
+  std::map<RowKey, StoredRow> rows_;
+  std::uint64_t version_ = 0;
+  Fault fault_ = Fault::kNone;
+  int faults_left_ = 0;
+};
+
+/// Workers that finish each run at once and list its end.
+class InstantWorkers {
+ public:
+  explicit InstantWorkers(boost::asio::io_context& io) : io_(io) {}
+
+  WorkerPort Port() {
+    WorkerPort port;
+    port.start = [this](const StartOrder& order, Epoch, const std::string&,
+                        Duration, UniqueFunction<OrderReply> done) {
+      ++starts[order.task];
+      ended_.push_back({EndNumber(++ends_), order.task, order.run,
+                        RunEnd::kDone, Checkpoint()});
+      boost::asio::post(io_, [done = std::move(done)]() mutable {
+        done({OrderVerdict::kAccepted, WorkerTime(seconds(5))});
+      });
+    };
+    port.lease = [this](const LeaseOrder& order, Epoch, Duration,
+                        UniqueFunction<LeaseReply> done) {
+      std::erase_if(ended_, [&](const EndReport& end) {
+        return end.number <= order.acknowledged;
+      });
+      LeaseReply reply{.verdict = OrderVerdict::kAccepted,
+                       .worker_clock = WorkerTime(seconds(5)),
+                       .incarnation = WallTime(1),
+                       .running = {},
+                       .ended = ended_};
+      boost::asio::post(io_, [done = std::move(done), reply]() mutable {
+        done(reply);
+      });
+    };
+    return port;
+  }
+
+  std::map<TaskName, int> starts;
+
+ private:
+  boost::asio::io_context& io_;
+  std::vector<EndReport> ended_;
+  std::uint64_t ends_ = 0;
+};
+
+/// Callers' requests as tests write them: "POST /ID", "GET /ID", "DELETE /ID",
+/// "GET /".
+inline CallerPort PlainCallers() {
+  CallerPort port;
+  port.decode = [](const HttpRequest& request, const Topology&)
+      -> tl::expected<CallerRequest, CallerAnswer> {
+    using Kind = CallerRequest::Kind;
+    CallerRequest call{.queue = QueueId("q"),
+                       .job = JobId(request.path.substr(1)),
+                       .spec = {},
+                       .patience = milliseconds(600)};
+    call.spec.steps.push_back({.task_count = 2});
+    if (call.job.empty()) {
+      call.kind = Kind::kQueueLength;
+    } else if (request.method == HttpMethod::kPost) {
+      call.kind = Kind::kSubmit;
+    } else if (request.method == HttpMethod::kDelete) {
+      call.kind = Kind::kCancel;
+    }
+    return call;
+  };
+  port.encode = [](const CallerAnswer& answer) {
+    using Kind = CallerAnswer::Kind;
+    switch (answer.kind) {
+      case Kind::kTryLater:
+        return HttpResponse{.status = 503, .retry_after = answer.retry_after};
+      case Kind::kOutcomeUnknown:
+        return HttpResponse{.status = 504};
+      case Kind::kUnknownJob:
+        return HttpResponse{.status = 410};
+      default:
+        return HttpResponse{
+            .body = std::to_string(static_cast<int>(answer.state))};
+    }
+  };
+  return port;
+}
+
+/// One scheduling host on loopback, with the services that callers meet.
+class TestHost {
+ public:
+  TestHost(boost::asio::io_context& io, FakeStore& store,
+           InstantWorkers& workers, const std::string& name, int port)
+      : io_(io),
+        runtime_(io),
+        peers_(io, {}),
+        ports_{store.Port(), workers.Port(), PlainCallers(), Directory()} {
+    settings_.host.id = EntryHostId(name);
+    settings_.host.listen_callers = {"127.0.0.1",
+                                     static_cast<std::uint16_t>(port)};
+    settings_.host.listen_peers = {"127.0.0.1",
+                                   static_cast<std::uint16_t>(port + 1)};
+    context_ = std::make_unique<Context>(
+        Context{settings_, "process-" + name, runtime_, kernel_, peers_,
+                metrics_, ports_});
+    Register<TopologyService>(kTopologyService);
+    Register<DutyService>(kDutyService);
+    Register<WorkerListService>(kWorkerListService);
+    Register<DispatchService>(kDispatchService);
+    Register<PeerService>(kPeerService);
+    Register<CallerService>(kCallerService);
+    REQUIRE(kernel_.Start());
+  }
+
+  /// Sends a request and waits for its answer.
+  CallOutcome Ask(HttpMethod method, const std::string& path) {
+    CallOutcome answer;
+    bool done = false;
+    peers_.Call(settings_.host.listen_callers.ToString(),
+                {.method = method, .path = path, .body = "{}"}, seconds(20),
+                [&](CallOutcome outcome) {
+                  answer = std::move(outcome);
+                  done = true;
+                });
+    RunUntil([&] { return done; });
+    return answer;
+  }
+
+  /// Runs until the condition holds; the time only ends a hung test.
+  void RunUntil(const std::function<bool()>& done) {
+    while (!done()) {
+      io_.restart();
+      if (io_.run_one_for(std::chrono::seconds(30)) == 0) FAIL("hangs");
+    }
+  }
+
+  TopologyService& topology() {
+    return *kernel_.Find<TopologyService>(kTopologyService);
+  }
+  DutyService& duty() { return *kernel_.Find<DutyService>(kDutyService); }
+  DispatchService& dispatch() {
+    return *kernel_.Find<DispatchService>(kDispatchService);
+  }
+
+ private:
+  static DirectoryPort Directory() {
+    return {.topology_row = {"op", "", "config"},
+            .worker_table = "workers",
+            .decode_topology =
+                [](const std::string& value) -> Result<Topology> {
+              if (value.empty()) return Fail(ErrorKind::kBadRequest, "empty");
+              Topology topology{
+                  .version = TopologyVersion(std::stoull(value))};
+              topology.queues.push_back({.id = QueueId("q"),
+                                         .path_prefix = "/",
+                                         .service = ServiceId("desk"),
+                                         .max_attempts = 2});
+              return topology;
+            },
+            .decode_worker = [](const StoredRow& row) -> Result<WorkerEntry> {
+              return WorkerEntry{
+                  .id = WorkerId(row.address.key),
+                  .endpoint = "worker:1",
+                  .service = ServiceId("desk"),
+                  .data_centre = DataCentreId("dc"),
+                  .capacity = {MilliCores(8000), MebiBytes(8000), {}},
+                  .labels = {}};
+            }};
+  }
+
+  template <typename T>
+  void Register(const char* name) {
+    kernel_.Register(name, std::make_unique<T>(*context_));
+  }
+
+  boost::asio::io_context& io_;
+  SchedulerSettings settings_;
+  Runtime runtime_;
+  ClientPool peers_;
+  Metrics metrics_;
+  SchedulerPorts ports_;
+  std::unique_ptr<Context> context_;
+  Kernel kernel_;
+};
+
+}  // namespace gypsumfall::scheduler_internal
+
+#endif  // GYPSUMFALL_SCHEDULER_INTERNAL_FAKE_PORTS_H_
