Survive SIGHUP; look at all runs less often; larger hosts claim first

On the grown deployments one small host spent its share on walks over all runs at each event and on scoring 490 workers for each task.

--- a/gypsumfall/cli/cli.h
+++ b/gypsumfall/cli/cli.h
@@ -80,7 +80,11 @@
   /// Runs an entry host until it is stopped.
   std::function<ExitCode(const EntrySettings&)> serve;
   /// Runs a scheduling host until it is stopped.
-  std::function<ExitCode(const SchedulerSettings&)> schedule;
+  /// @param reload reads the settings again; nothing if they are not valid.
+  std::function<ExitCode(
+      const SchedulerSettings&,
+      const std::function<std::optional<SchedulerSettings>()>& reload)>
+      schedule;
   std::istream& in;
   std::ostream& out;
   std::ostream& err;
--- a/gypsumfall/cli/settings_commands.cc
+++ b/gypsumfall/cli/settings_commands.cc
@@ -1,3 +1,4 @@
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -67,7 +68,19 @@
 
 ExitCode Schedule(const SettingsArguments& arguments,
                   const CliEnvironment& environment) {
-  return WithSchedulerSettings(arguments, environment, environment.schedule);
+  const auto reload = [&]() -> std::optional<SchedulerSettings> {
+    std::optional<SchedulerSettings> settings;
+    WithSchedulerSettings(arguments, environment,
+                          [&](const SchedulerSettings& read) {
+                            settings = read;
+                            return ExitCode::kOk;
+                          });
+    return settings;
+  };
+  return WithSchedulerSettings(arguments, environment,
+                               [&](const SchedulerSettings& settings) {
+                                 return environment.schedule(settings, reload);
+                               });
 }
 
 ExitCode CheckSchedule(const SettingsArguments& arguments,
--- a/gypsumfall/dispatch/dispatcher_starts.cc
+++ b/gypsumfall/dispatch/dispatcher_starts.cc
@@ -20,8 +20,12 @@
 // Pause before a stop that was not answered is sent again.
 constexpr Duration kStopRetryDelay = milliseconds(400);
 // Tasks that fill are placed in rounds: finding room for them is the dearest
-// decision, and their objectives are long against this.
+// decision, and their objectives are long against this. A round that finds no
+// room looks at each worker, so that larger fleets have longer rounds.
 constexpr Duration kFillRoundInterval = milliseconds(30);
+constexpr Duration kFillRoundPerWorker = microseconds(200);
+// All runs are looked at this often: for stops, pauses and lost workers.
+constexpr Duration kSweepInterval = milliseconds(15);
 // Time that a run stands still before it is moved. Moving costs the restore
 // of its checkpoint.
 constexpr Duration kPauseBeforeMove = milliseconds(800);
@@ -73,11 +77,15 @@
 std::vector<Order> Dispatcher::Decide(Time now) {
   std::vector<Order> orders;
   if (superseded_) return orders;
-  DropLostWorkers(now);
   ReleaseDue(now);
-  MovePausedRuns(now);
-  MoveStandingRuns(now);
-  AddStopOrders(now, orders);
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepInterval;
+    DropLostWorkers(now);
+    MovePausedRuns(now);
+    MoveStandingRuns(now);
+    AddStopOrders(now, orders);
+    for (auto& [id, worker] : workers_) AddPaceOrders(worker, orders);
+  }
   AddStartOrders(now, orders);
   AddLeaseOrders(now, orders);
   return orders;
@@ -86,7 +94,6 @@
 void Dispatcher::AddLeaseOrders(Time now, std::vector<Order>& orders) {
   for (auto& [id, worker] : workers_) {
     if (worker.entry.endpoint.empty()) continue;
-    AddPaceOrders(worker, orders);
     if (worker.lease_call_open) continue;
     const bool unstored = !worker.pending_ends.empty();
     const Time due =
@@ -220,7 +227,12 @@
   if (ready_.empty()) return;
   const bool accounted = AllAccounted();
   const bool try_fills = now >= next_fill_round_;
-  if (try_fills) next_fill_round_ = now + kFillRoundInterval;
+  if (try_fills) {
+    next_fill_round_ =
+        now + std::max(kFillRoundInterval,
+                       kFillRoundPerWorker *
+                           static_cast<std::int64_t>(workers_.size()));
+  }
   FailedRequests failed;
   for (const StepRef& ref : OrderOfSteps(now)) {
     const Job& job = *jobs_.Find(ref.job);
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -210,6 +210,7 @@
   dispatch_internal::InterferenceModel interference_;
   std::set<StepRef> ready_;
   Time next_fill_round_{};
+  Time next_sweep_{};
   /// Times at which further occurrences of jobs are due.
   std::multimap<Time, JobId> due_;
 
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -160,6 +160,25 @@
   Worker& Ensure(const WorkerId& id);
   Worker* Find(const WorkerId& id);
   void Remove(const WorkerId& id) { workers_.erase(id); }
+  /// Visits the workers, beginning behind where the last walk that `rotate`d
+  /// began, so that walks that end early reach all of them in turn.
+  /// @param visit returns whether to go on.
+  template <typename Visit>
+  void Walk(bool rotate, Visit visit) {
+    auto first = workers_.begin();
+    if (rotate) {
+      first = workers_.upper_bound(cursor_);
+      if (first == workers_.end()) first = workers_.begin();
+      if (first != workers_.end()) cursor_ = first->first;
+    }
+    for (auto next = first; next != workers_.end(); ++next) {
+      if (!visit(next->second)) return;
+    }
+    for (auto next = workers_.begin(); next != first; ++next) {
+      if (!visit(next->second)) return;
+    }
+  }
+
   auto begin() { return workers_.begin(); }
   auto end() { return workers_.end(); }
   auto begin() const { return workers_.begin(); }
@@ -169,6 +188,7 @@
  private:
   /// Ordered, so that decisions do not depend on the hash function.
   std::map<WorkerId, Worker> workers_;
+  WorkerId cursor_;
 };
 
 }  // namespace gypsumfall::dispatch_internal
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -8,6 +8,9 @@
 namespace gypsumfall::dispatch_internal {
 namespace {
 
+// Workers without any shortfall among which a task that fills chooses; looking
+// at more changes little and costs the more the larger the fleet is.
+constexpr int kEnoughGood = 16;
 // Puts unfit workers behind all others; above any ordinary score.
 constexpr double kUnfitPenalty = 1e6;
 
@@ -104,19 +107,23 @@
                      const InterferenceModel& model, Time now) {
   Worker* best = nullptr;
   double best_score = std::numeric_limits<double>::infinity();
-  for (auto& [id, worker] : workers) {
+  int good = 0;
+  const bool fills = request.spec->fills;
+  workers.Walk(fills, [&](Worker& worker) {
     if (!Allows(worker, request) || !Fits(worker, *request.spec) ||
         !AcceptsWork(worker, now)) {
-      continue;
+      return true;
     }
     double score = Score(worker, request, model, now);
     score += kUnfitPenalty * Unfitness(worker, now);
-    if (id == request.avoid) score += kUnfitPenalty;
+    if (worker.entry.id == request.avoid) score += kUnfitPenalty;
     if (score < best_score) {
       best = &worker;
       best_score = score;
     }
-  }
+    if (fills && score < 0) ++good;
+    return good < kEnoughGood;
+  });
   return best;
 }
 
--- a/gypsumfall/duty/duty.cc
+++ b/gypsumfall/duty/duty.cc
@@ -1,5 +1,6 @@
 #include "gypsumfall/duty/duty.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -10,9 +11,11 @@
 // the drift of two clocks.
 constexpr Duration kLeaseMargin = milliseconds(150);
 // Candidates claim one after another, so that most of them see the first
-// claim instead of racing it.
-constexpr std::uint64_t kClaimSlots = 8;
-constexpr Duration kClaimSlot = milliseconds(20);
+// claim instead of racing it. Smaller hosts come after larger ones, which carry
+// the duty more easily.
+constexpr std::uint64_t kClaimSlots = 4;
+constexpr Duration kClaimSlot = milliseconds(15);
+constexpr Duration kSmallHostDelay = milliseconds(200);
 // Refusals further apart do not belong to one outage of the holder.
 constexpr Duration kRefusalMemory = seconds(1);
 
@@ -77,14 +80,21 @@
   const std::uint64_t epoch = record_ ? record_->epoch.value() : 0;
   const std::uint64_t slot =
       StableHash(self_.str() + "/" + std::to_string(epoch)) % kClaimSlots;
-  return kClaimSlot * static_cast<std::int64_t>(slot);
+  const double missing = std::clamp(1.0 - settings_.processor_share, 0.0, 1.0);
+  const Duration small_host(static_cast<std::int64_t>(
+      missing * static_cast<double>(kSmallHostDelay.count())));
+  return kClaimSlot * static_cast<std::int64_t>(slot) + small_host;
 }
 
-std::optional<DutyClaim> DutyLease::Claim(Time now) const {
+std::optional<DutyClaim> DutyLease::Claim(Time now) {
   if (held_ || !known_) return std::nullopt;
   const DutyEnd reason = EndOf(now);
-  if (reason == DutyEnd::kNotOver) return std::nullopt;
-  if (now < unchanged_since_ + ClaimDelay()) return std::nullopt;
+  if (reason == DutyEnd::kNotOver) {
+    over_since_.reset();
+    return std::nullopt;
+  }
+  if (!over_since_) over_since_ = now;
+  if (now < *over_since_ + ClaimDelay()) return std::nullopt;
   DutyRecord record{.holder = self_,
                     .endpoint = endpoint_,
                     .process = process_,
@@ -112,6 +122,7 @@
 void DutyLease::OnLost() {
   held_ = false;
   known_ = false;
+  over_since_.reset();
   refusals_ = 0;
   replaced_ = false;
 }
--- a/gypsumfall/duty/duty.h
+++ b/gypsumfall/duty/duty.h
@@ -35,6 +35,8 @@
   Duration outage_grace = milliseconds(700);
   /// Refused connections to the holder after which it counts as gone.
   int refusals_until_gone = 2;
+  /// Processors of this host, as part of a core. Larger hosts claim first.
+  double processor_share = 1.0;
 };
 
 /// Why the duty of another holder counts as over.
@@ -81,8 +83,9 @@
   /// Another process answers at the holder's address.
   void OnHolderReplaced();
 
+  /// To be called often while this host does not have the duty.
   /// @return the row to put if this host should take over.
-  std::optional<DutyClaim> Claim(Time now) const;
+  std::optional<DutyClaim> Claim(Time now);
   /// A claim or renewal was stored.
   /// @param claim what was stored.
   /// @param sent when it was sent.
@@ -118,6 +121,8 @@
   std::optional<DutyRecord> record_;
   RowVersion version_;
   Time unchanged_since_{};
+  /// Since when the duty was seen to be over, if it is.
+  std::optional<Time> over_since_;
   std::optional<Time> last_read_failure_;
   int refusals_ = 0;
   Time last_refusal_{};
--- a/gypsumfall/duty/duty_test.cc
+++ b/gypsumfall/duty/duty_test.cc
@@ -11,6 +11,13 @@
   return DutyLease({}, EntryHostId(name), "127.0.0.1:7000", process);
 }
 
+/// Asks twice, as a host that looks often does, so that the order among
+/// candidates has passed by `now`.
+std::optional<DutyClaim> ClaimAt(DutyLease& host, Time now) {
+  host.Claim(now);
+  return host.Claim(now + milliseconds(300));
+}
+
 DutyRecord HeldBy(const std::string& name, const std::string& process = "p1") {
   return {.holder = EntryHostId(name),
           .endpoint = "127.0.0.1:7001",
@@ -20,13 +27,14 @@
 }
 
 TEST_CASE("nobody claims before the row was read") {
-  CHECK_FALSE(Host("a").Claim(kStart + seconds(60)));
+  DutyLease host = Host("a");
+  CHECK_FALSE(ClaimAt(host, kStart + seconds(60)));
 }
 
 TEST_CASE("a missing or released duty is claimed at once, in the next epoch") {
   DutyLease host = Host("a");
   host.Observe(std::nullopt, RowVersion(0), kStart);
-  const auto first = host.Claim(kStart + milliseconds(200));
+  const auto first = ClaimAt(host, kStart + milliseconds(200));
   REQUIRE(first);
   CHECK(first->record.epoch == Epoch(1));
   CHECK(first->expected == RowVersion(0));
@@ -35,7 +43,7 @@
   released.released = true;
   DutyLease other = Host("a");
   other.Observe(released, RowVersion(9), kStart);
-  const auto next = other.Claim(kStart + milliseconds(200));
+  const auto next = ClaimAt(other, kStart + milliseconds(200));
   REQUIRE(next);
   CHECK(next->record.epoch == Epoch(8));
   CHECK(next->expected == RowVersion(9));
@@ -47,16 +55,32 @@
     const Time now = kStart + seconds(2) * i;
     host.Observe(HeldBy("b"), RowVersion(static_cast<std::uint64_t>(i + 1)),
                  now);
-    CHECK_FALSE(host.Claim(now + milliseconds(1900)));
+    CHECK_FALSE(ClaimAt(host, now + milliseconds(1500)));
+  }
+}
+
+TEST_CASE("a larger host claims before a smaller one") {
+  DutySettings small;
+  small.processor_share = 0.12;
+  DutySettings large;
+  large.processor_share = 0.5;
+  DutyLease first(large, EntryHostId("a"), "127.0.0.1:7000", "p1");
+  DutyLease second(small, EntryHostId("b"), "127.0.0.1:7001", "p2");
+  for (DutyLease* host : {&first, &second}) {
+    host->Observe(std::nullopt, RowVersion(0), kStart);
+    CHECK_FALSE(host->Claim(kStart));
   }
+  CHECK(first.Claim(kStart + milliseconds(160)));
+  CHECK_FALSE(second.Claim(kStart + milliseconds(160)));
+  CHECK(second.Claim(kStart + milliseconds(300)));
 }
 
 TEST_CASE("an unchanged duty is claimed after a whole lease, not before") {
   DutyLease host = Host("a");
   host.Observe(HeldBy("b"), RowVersion(5), kStart);
   host.Observe(HeldBy("b"), RowVersion(5), kStart + seconds(2));
-  CHECK_FALSE(host.Claim(kStart + milliseconds(3000)));
-  CHECK(host.Claim(kStart + milliseconds(3500)));
+  CHECK_FALSE(ClaimAt(host, kStart + milliseconds(3000)));
+  CHECK(ClaimAt(host, kStart + milliseconds(3500)));
 }
 
 TEST_CASE("after an outage of the store the holder renews first") {
@@ -64,23 +88,23 @@
   host.Observe(HeldBy("b"), RowVersion(5), kStart);
   host.OnReadFailed(kStart + seconds(9));
   host.Observe(HeldBy("b"), RowVersion(5), kStart + milliseconds(9100));
-  CHECK_FALSE(host.Claim(kStart + milliseconds(9200)));
-  CHECK(host.Claim(kStart + milliseconds(9900)));
+  CHECK_FALSE(ClaimAt(host, kStart + milliseconds(9200)));
+  CHECK(ClaimAt(host, kStart + milliseconds(9900)));
 }
 
 TEST_CASE("a restart of the holder's own process claims at once") {
   DutyLease host = Host("a", "p2");
   host.Observe(HeldBy("a", "p1"), RowVersion(5), kStart);
-  CHECK(host.Claim(kStart + milliseconds(200)));
+  CHECK(ClaimAt(host, kStart + milliseconds(200)));
 }
 
 TEST_CASE("repeated refusals let a host claim, and bound what came before") {
   DutyLease host = Host("a");
   host.Observe(HeldBy("b"), RowVersion(5), kStart);
   host.OnHolderRefused(kStart + milliseconds(200));
-  CHECK_FALSE(host.Claim(kStart + milliseconds(300)));
+  CHECK_FALSE(ClaimAt(host, kStart + milliseconds(300)));
   host.OnHolderRefused(kStart + milliseconds(300));
-  const auto claim = host.Claim(kStart + milliseconds(400));
+  const auto claim = ClaimAt(host, kStart + milliseconds(400));
   REQUIRE(claim);
   host.OnStored(*claim, RowVersion(6), kStart + milliseconds(400));
   // A cut can refuse connections too while the holder goes on.
@@ -95,7 +119,7 @@
   host.Observe(HeldBy("b"), RowVersion(5), kStart);
   host.OnHolderRefused(kStart + milliseconds(200));
   host.OnHolderRefused(kStart + milliseconds(300));
-  const auto claim = host.Claim(kStart + milliseconds(400));
+  const auto claim = ClaimAt(host, kStart + milliseconds(400));
   REQUIRE(claim);
   host.Observe(claim->record, RowVersion(6), kStart + milliseconds(410));
   host.OnStored(*claim, RowVersion(6), kStart + milliseconds(400));
@@ -106,13 +130,13 @@
   DutyLease waited = Host("a");
   waited.Observe(HeldBy("b"), RowVersion(5), kStart);
   const Time later = kStart + milliseconds(3500);
-  waited.OnStored(*waited.Claim(later), RowVersion(6), later);
+  waited.OnStored(*ClaimAt(waited, later), RowVersion(6), later);
   CHECK(waited.predecessor_slack() == Duration{0});
 
   DutyLease own_row = Host("a", "p2");
   own_row.Observe(HeldBy("a", "p1"), RowVersion(5), kStart);
   const Time soon = kStart + milliseconds(200);
-  own_row.OnStored(*own_row.Claim(soon), RowVersion(6), soon);
+  own_row.OnStored(*ClaimAt(own_row, soon), RowVersion(6), soon);
   CHECK(own_row.predecessor_slack() == seconds(3));
 }
 
@@ -121,13 +145,13 @@
   host.Observe(HeldBy("b"), RowVersion(5), kStart);
   host.OnHolderRefused(kStart + milliseconds(100));
   host.OnHolderRefused(kStart + milliseconds(1500));
-  CHECK_FALSE(host.Claim(kStart + milliseconds(1600)));
+  CHECK_FALSE(ClaimAt(host, kStart + milliseconds(1600)));
 }
 
 TEST_CASE("the lease counts from the sending of the renewal") {
   DutyLease host = Host("a");
   host.Observe(std::nullopt, RowVersion(0), kStart);
-  const auto claim = host.Claim(kStart + seconds(1));
+  const auto claim = ClaimAt(host, kStart + seconds(1));
   host.OnStored(*claim, RowVersion(1), kStart + seconds(1));
   CHECK(host.IsHeld(kStart + milliseconds(3999)));
   CHECK_FALSE(host.IsHeld(kStart + milliseconds(4000)));
@@ -143,11 +167,11 @@
 TEST_CASE("a lost duty is claimed again only after it was read") {
   DutyLease host = Host("a");
   host.Observe(std::nullopt, RowVersion(0), kStart);
-  host.OnStored(*host.Claim(kStart + seconds(1)), RowVersion(1),
+  host.OnStored(*ClaimAt(host, kStart + seconds(1)), RowVersion(1),
                 kStart + seconds(1));
   host.OnLost();
   CHECK_FALSE(host.IsHeld(kStart + seconds(1)));
-  CHECK_FALSE(host.Claim(kStart + seconds(60)));
+  CHECK_FALSE(ClaimAt(host, kStart + seconds(60)));
 }
 
 TEST_CASE("a late answer does not bring back an older row") {
@@ -156,7 +180,7 @@
   DutyRecord old = HeldBy("c");
   old.released = true;
   host.Observe(old, RowVersion(4), kStart + milliseconds(10));
-  CHECK_FALSE(host.Claim(kStart + seconds(1)));
+  CHECK_FALSE(ClaimAt(host, kStart + seconds(1)));
 }
 
 }  // namespace
--- a/gypsumfall/main/main.cc
+++ b/gypsumfall/main/main.cc
@@ -79,9 +79,10 @@
   return static_cast<ExitCode>(RunEntryHost(settings));
 }
 
-ExitCode Schedule(const SchedulerSettings& settings) {
+ExitCode Schedule(const SchedulerSettings& settings,
+                  const ReloadSettings& reload) {
   return static_cast<ExitCode>(
-      RunScheduler(settings, [&settings](boost::asio::io_context& io) {
+      RunScheduler(settings, reload, [&settings](boost::asio::io_context& io) {
         return MakePlatformPorts(io, settings);
       }));
 }
--- a/gypsumfall/scheduler/duty_service.cc
+++ b/gypsumfall/scheduler/duty_service.cc
@@ -19,7 +19,8 @@
 
 DutyService::DutyService(Context& context)
     : context_(context),
-      lease_({}, context.settings.host.id,
+      lease_({.processor_share = context.settings.host.processor_share},
+             context.settings.host.id,
              context.settings.host.listen_peers.ToString(), context.process),
       retry_(context.runtime, [this] { Send(); }) {}
 
--- a/gypsumfall/scheduler/scheduler.cc
+++ b/gypsumfall/scheduler/scheduler.cc
@@ -29,6 +29,13 @@
 // connection that it opened before.
 constexpr Duration kDrainNotice = milliseconds(2300);
 
+void ApplyLogging(const LoggingSettings& logging) {
+  SetUpLogging({.level = logging.level,
+                .descriptor = STDOUT_FILENO,
+                .max_lines_per_second =
+                    static_cast<int>(logging.max_lines_per_second)});
+}
+
 std::string MakeProcessId() {
   std::random_device random;
   return std::to_string(random()) + "-" + std::to_string(random());
@@ -37,13 +44,17 @@
 /// The process: services, signals and the order of a planned stop.
 class SchedulerHost {
  public:
-  SchedulerHost(const SchedulerSettings& settings, const MakePorts& make_ports)
-      : runtime_(io_),
+  SchedulerHost(const SchedulerSettings& settings, const ReloadSettings& reload,
+                const MakePorts& make_ports)
+      : reload_(reload),
+        runtime_(io_),
         peers_(io_, {}),
         ports_(make_ports(io_)),
         context_{settings, MakeProcessId(), runtime_, kernel_,
                  peers_,   metrics_,        ports_},
-        signals_(io_, SIGTERM, SIGINT, SIGUSR1) {}
+        signals_(io_, SIGTERM, SIGINT, SIGUSR1) {
+    signals_.add(SIGHUP);
+  }
 
   int Run() {
     Register<TopologyService>(kTopologyService);
@@ -79,6 +90,8 @@
           if (failed) return;
           if (signal == SIGUSR1) {
             std::cerr << kernel_.Dump() << std::flush;
+          } else if (signal == SIGHUP) {
+            Reload();
           } else if (!stopping_) {
             BeginStop();
           }
@@ -86,6 +99,17 @@
         });
   }
 
+  void Reload() {
+    const std::optional<SchedulerSettings> settings = reload_();
+    if (!settings) {
+      log_.Error("settings not reloaded; the old ones stay in force");
+      return;
+    }
+    ApplyLogging(settings->logging);
+    log_.Info("settings reloaded",
+              {{"log_level", LogLevelName(settings->logging.level)}});
+  }
+
   void BeginStop() {
     stopping_ = true;
     log_.Info("planned stop begins");
@@ -100,6 +124,7 @@
     drain_->NotAfter(runtime_.Now() + kDrainNotice);
   }
 
+  const ReloadSettings& reload_;
   boost::asio::io_context io_{1};
   Logger log_{"scheduler"};
   Runtime runtime_;
@@ -116,14 +141,11 @@
 }  // namespace
 
 int RunScheduler(const SchedulerSettings& settings,
-                 const MakePorts& make_ports) {
+                 const ReloadSettings& reload, const MakePorts& make_ports) {
   // The peer may have closed a connection that is written to.
   std::signal(SIGPIPE, SIG_IGN);
-  SetUpLogging({.level = settings.logging.level,
-                .descriptor = STDOUT_FILENO,
-                .max_lines_per_second = static_cast<int>(
-                    settings.logging.max_lines_per_second)});
-  SchedulerHost host(settings, make_ports);
+  ApplyLogging(settings.logging);
+  SchedulerHost host(settings, reload, make_ports);
   return host.Run();
 }
 
--- a/gypsumfall/scheduler/scheduler.h
+++ b/gypsumfall/scheduler/scheduler.h
@@ -8,12 +8,13 @@
 ///
 /// Example:
 /// @code
-///   return RunScheduler(settings, [&](boost::asio::io_context& io) {
+///   return RunScheduler(settings, reload, [&](boost::asio::io_context& io) {
 ///     return MakePlatformPorts(io, settings);
 ///   });
 /// @endcode
 
 #include <functional>
+#include <optional>
 
 #include "gypsumfall/scheduler/ports.h"
 #include "gypsumfall/settings/settings.h"
@@ -26,12 +27,18 @@
 
 using MakePorts = std::function<SchedulerPorts(boost::asio::io_context&)>;
 
-/// Runs a scheduling host until it is stopped by SIGTERM or SIGINT.
+/// Reads the settings again; nothing if they are not valid.
+using ReloadSettings = std::function<std::optional<SchedulerSettings>()>;
+
+/// Runs a scheduling host until it is stopped by SIGTERM or SIGINT. SIGHUP
+/// reads the settings again and applies those of the log; all others need a
+/// restart.
 /// @param settings checked settings.
+/// @param reload reads the settings again.
 /// @param make_ports makes the adapter on the process's event loop.
 /// @return the exit code of the process.
 int RunScheduler(const SchedulerSettings& settings,
-                 const MakePorts& make_ports);
+                 const ReloadSettings& reload, const MakePorts& make_ports);
 
 }  // namespace gypsumfall
 
--- a/gypsumfall/settings/internal/scheduler_settings.h
+++ b/gypsumfall/settings/internal/scheduler_settings.h
@@ -21,6 +21,8 @@
   Endpoint listen_peers;
   /// Metrics and dumps.
   Endpoint listen_metrics;
+  /// Processors of the host, as part of a core.
+  double processor_share = 1.0;
 };
 
 /// Section [platform] of a scheduling host.
--- a/gypsumfall/settings/scheduler_settings.cc
+++ b/gypsumfall/settings/scheduler_settings.cc
@@ -19,6 +19,7 @@
 // Shorter leases would lapse between two renewals over a slow link; longer
 // ones keep the work of a lost worker waiting.
 constexpr Range<Duration> kWorkerLeaseRange{seconds(3), minutes(10)};
+constexpr Range<double> kShareRange{0.001, 1024};
 constexpr Range<Duration> kStopTimeoutRange{milliseconds(1), minutes(1)};
 constexpr Range<Duration> kRetentionRange{minutes(1), hours(24)};
 
@@ -33,7 +34,9 @@
           MakeField("listen_peers", kRequired, host.listen_peers, ParseEndpoint,
                     "10.0.0.1:7002"),
           MakeField("listen_metrics", kRequired, host.listen_metrics,
-                    ParseEndpoint, "10.0.0.1:9464")};
+                    ParseEndpoint, "10.0.0.1:9464"),
+          MakeField("processor_share", kOptional, host.processor_share,
+                    Within(ParseFraction, kShareRange))};
 }
 
 std::vector<Field> Fields(SchedulerPlatformSettings& platform) {
