--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -18,7 +18,6 @@
 
 }  // namespace
 
-using dispatch_internal::IsLeaseOver;
 using dispatch_internal::JobTable;
 using dispatch_internal::kLeaseSlack;
 using dispatch_internal::kRunsPerEpoch;
@@ -36,7 +35,8 @@
   Job* job = jobs_.Add(std::move(record), now, wall_now);
   if (job == nullptr) return;
   const std::uint64_t earlier =
-      epoch_.value() - std::min(epoch_.value(), job->record.accepted_in.value());
+      epoch_.value() -
+      std::min(epoch_.value(), job->record.accepted_in.value());
   for (Occurrence& occurrence : job->occurrences) {
     for (Step& step : occurrence.steps) {
       for (Task& task : step.tasks) task.last_run = earlier * kRunsPerEpoch;
@@ -82,8 +82,7 @@
   to_record_.push_back(job.record.id);
 }
 
-void Dispatcher::EndJob(Job& job, JobState state, Time now,
-                        WallTime wall_now) {
+void Dispatcher::EndJob(Job& job, JobState state, Time now, WallTime wall_now) {
   job.state = state;
   job.ended_at = wall_now;
   ++ended_waiting_;
@@ -204,9 +203,9 @@
 }
 
 const std::string& Dispatcher::PayloadOf(const JobId& id) const {
-  static const std::string kNone;
+  static const std::string none;
   const Job* job = jobs_.Find(id);
-  return job == nullptr ? kNone : job->record.spec.payload;
+  return job == nullptr ? none : job->record.spec.payload;
 }
 
 void Dispatcher::Note(std::string_view what, const TaskName& task,
@@ -232,8 +231,8 @@
         << (worker.listed ? "" : ", not listed")
         << (worker.entry.draining ? ", draining" : "")
         << (worker.fenced ? "" : ", not fenced")
-        << (IsSilent(worker, now) ? ", silent" : "") << ", ends " << worker.processed << "/"
-        << worker.acknowledged << "\n";
+        << (IsSilent(worker, now) ? ", silent" : "") << ", ends "
+        << worker.processed << "/" << worker.acknowledged << "\n";
   }
   return std::move(out).str();
 }
--- a/gypsumfall/dispatch/dispatcher_ends.cc
+++ b/gypsumfall/dispatch/dispatcher_ends.cc
@@ -10,7 +10,6 @@
 namespace gypsumfall {
 using dispatch_internal::NoteDone;
 using dispatch_internal::NoteFailure;
-using dispatch_internal::PendingEnd;
 using dispatch_internal::TaskPhase;
 
 Dispatcher::Step& Dispatcher::StepOf(Job& job, const TaskName& name) {
@@ -31,7 +30,7 @@
   task.last_run = std::max(task.last_run, run.number.value());
   job.started = true;
   if (spec.max_per_worker > 0) ++StepOf(job, name).per_worker[worker.entry.id];
-  Bind(worker, name, std::move(run));
+  Bind(worker, name, run);
 }
 
 void Dispatcher::UnbindRun(Worker& worker, const TaskName& name) {
@@ -69,8 +68,9 @@
   const auto bound = worker.runs.find(end.task);
   const bool was_bound =
       bound != worker.runs.end() && bound->second.number == end.run;
-  Note("run ended", end.task, end.run, worker.entry.id,
-       std::string(RunEndName(end.end)) + (was_bound ? "" : ", not bound here"));
+  Note(
+      "run ended", end.task, end.run, worker.entry.id,
+      std::string(RunEndName(end.end)) + (was_bound ? "" : ", not bound here"));
   if (was_bound) UnbindRun(worker, end.task);
   Job* job = jobs_.Find(end.task.job);
   Task* task = jobs_.FindTask(end.task);
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -55,8 +55,8 @@
 }
 
 void Dispatcher::NoteClock(Worker& worker,
-                           const std::optional<WorkerTime>& clock, Time /*sent*/,
-                           Time now) {
+                           const std::optional<WorkerTime>& clock,
+                           Time /*sent*/, Time now) {
   if (!clock) return;
   if (worker.clock && *clock < *worker.clock) return;
   // The worker read its clock before `now`, so at `now` it shows at least
@@ -177,8 +177,8 @@
   }
   if (reply.verdict != OrderVerdict::kAccepted) {
     ++worker->unanswered;
-    const Duration delay = kLeaseRetryDelay * (1 << std::min(
-                                                   worker->unanswered - 1, 3));
+    const Duration delay =
+        kLeaseRetryDelay * (1 << std::min(worker->unanswered - 1, 3));
     worker->next_lease_call = now + std::min(delay, kMaxLeaseRetryDelay);
     if (worker->unanswered == 1) {
       Note("worker does not answer", {}, RunNumber(), order.worker,
@@ -201,7 +201,8 @@
         worker->lease_until, ClockNow(*worker, now) + settings_.max_lease);
   }
   NoteClock(*worker, reply.worker_clock, sent, now);
-  for (const EndReport& end : reply.ended) ApplyEnd(*worker, end, now, wall_now);
+  for (const EndReport& end : reply.ended)
+    ApplyEnd(*worker, end, now, wall_now);
   ApplyRunning(*worker, reply, sent, now);
   worker->fenced = true;
   worker->predecessor_lease = false;
--- a/gypsumfall/dispatch/dispatcher_starts.cc
+++ b/gypsumfall/dispatch/dispatcher_starts.cc
@@ -39,7 +39,7 @@
     return std::any_of(failed_.begin(), failed_.end(), [&](const Entry& entry) {
       return entry.service == service && entry.fills == spec.fills &&
              (!spec.fills || entry.image == spec.image) &&
-              entry.need.FitsIn(spec.need);
+             entry.need.FitsIn(spec.need);
     });
   }
   void Add(const StepSpec& spec, const ServiceId& service) {
@@ -71,7 +71,6 @@
 using dispatch_internal::NoteFailure;
 using dispatch_internal::PlacementRequest;
 using dispatch_internal::StandsStill;
-using dispatch_internal::Stranger;
 using dispatch_internal::TaskPhase;
 
 std::vector<Order> Dispatcher::Decide(Time now) {
@@ -121,7 +120,8 @@
 
 void Dispatcher::AddPaceOrders(Worker& worker, std::vector<Order>& orders) {
   for (auto& [name, run] : worker.runs) {
-    if (!run.fills || run.phase != RunPhase::kRunning || run.pace_open) continue;
+    if (!run.fills || run.phase != RunPhase::kRunning || run.pace_open)
+      continue;
     if (std::abs(run.told_percent - run.wanted_percent) < kLeastPaceChange) {
       continue;
     }
@@ -209,8 +209,8 @@
       next = ready_.erase(next);
       continue;
     }
-    ranked.push_back(
-        {job->record.terms.priority, now > job->objective, job->objective, *next});
+    ranked.push_back({job->record.terms.priority, now > job->objective,
+                      job->objective, *next});
     ++next;
   }
   std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
--- a/gypsumfall/dispatch/interference.cc
+++ b/gypsumfall/dispatch/interference.cc
@@ -46,8 +46,7 @@
 }
 
 double ShareOf(const Worker& worker, MilliCores cpu) {
-  const auto capacity =
-      static_cast<double>(worker.entry.capacity.cpu.value());
+  const auto capacity = static_cast<double>(worker.entry.capacity.cpu.value());
   return capacity > 0 ? static_cast<double>(cpu.value()) / capacity : 0;
 }
 
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -87,8 +87,8 @@
   void OnStopReply(const StopOrder& order, const OrderReply& reply, Time sent,
                    Time now);
   void OnPaceReply(const PaceOrder& order, const OrderReply& reply);
-  void OnLeaseReply(const LeaseOrder& order, const LeaseReply& reply,
-                    Time sent, Time now, WallTime wall_now);
+  void OnLeaseReply(const LeaseOrder& order, const LeaseReply& reply, Time sent,
+                    Time now, WallTime wall_now);
 
   /// Decides what is due now.
   /// @return orders to send, in this order.
--- a/gypsumfall/dispatch/job_table.cc
+++ b/gypsumfall/dispatch/job_table.cc
@@ -47,8 +47,7 @@
   found->second = std::make_unique<Job>();
   Job& job = *found->second;
   job.record = std::move(record);
-  const Duration age =
-      std::max(WallTime{0}, wall_now - job.record.accepted_at);
+  const Duration age = std::max(WallTime{0}, wall_now - job.record.accepted_at);
   job.submitted = now - age;
   job.objective = job.submitted + job.record.terms.objective;
   MakeOccurrences(job, now, wall_now);
@@ -119,9 +118,9 @@
     const Occurrence& occurrence = job.occurrences[k];
     for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
       const Step& step = occurrence.steps[s];
-      const bool failed =
-          std::any_of(step.tasks.begin(), step.tasks.end(),
-                      [](const Task& task) { return !task.failed_runs.empty(); });
+      const bool failed = std::any_of(
+          step.tasks.begin(), step.tasks.end(),
+          [](const Task& task) { return !task.failed_runs.empty(); });
       if (step.done == 0 && !failed) continue;
       StepProgress stored{.occurrence = static_cast<int>(k),
                           .step = static_cast<int>(s),
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -82,8 +82,8 @@
     if (unused < kLeastFillShare * static_cast<double>(spec.need.cpu.value())) {
       return std::numeric_limits<double>::infinity();
     }
-    const double shortfall = model.ShortfallAfterPlacing(
-        worker, request.image, spec.need.cpu, now);
+    const double shortfall =
+        model.ShortfallAfterPlacing(worker, request.image, spec.need.cpu, now);
     if (shortfall > kMostShortfall) {
       return std::numeric_limits<double>::infinity();
     }
--- a/gypsumfall/dispatch/worker_health.cc
+++ b/gypsumfall/dispatch/worker_health.cc
@@ -37,8 +37,7 @@
   }
   const double expected =
       static_cast<double>(run.declared.count()) * percent / 100;
-  const double taken =
-      static_cast<double>((now - run.started_at).count());
+  const double taken = static_cast<double>((now - run.started_at).count());
   worker.slowness += kSlownessWeight * (taken / expected - worker.slowness);
 }
 
--- a/gypsumfall/dispatch/worker_table.cc
+++ b/gypsumfall/dispatch/worker_table.cc
@@ -8,8 +8,8 @@
 
 std::string_view OrderVerdictName(OrderVerdict verdict) {
   static constexpr std::array<std::string_view, 11> kNames = {
-      "accepted",  "fenced",  "stale_run",         "lease_over",
-      "no_room",   "no_ticket", "refused",         "other_incarnation",
+      "accepted",  "fenced",    "stale_run", "lease_over",
+      "no_room",   "no_ticket", "refused",   "other_incarnation",
       "malformed", "not_sent",  "unanswered"};
   return kNames.at(static_cast<std::size_t>(verdict));
 }
@@ -39,8 +39,7 @@
 
 bool IsSilent(const Worker& worker, Time now) {
   if (worker.unanswered > 0) return true;
-  return worker.lease_call_open &&
-         now > worker.lease_reply_due + kSilenceLimit;
+  return worker.lease_call_open && now > worker.lease_reply_due + kSilenceLimit;
 }
 
 Resources Free(const Worker& worker) {
@@ -50,8 +49,8 @@
 double FillDemand(const Worker& worker) {
   double demand = 0;
   for (const auto& [task, run] : worker.runs) {
-    demand += static_cast<double>(run.fill_cpu.value()) * run.wanted_percent /
-              100;
+    demand +=
+        static_cast<double>(run.fill_cpu.value()) * run.wanted_percent / 100;
   }
   return demand;
 }
@@ -65,7 +64,7 @@
         MilliCores(worker.long_running_cpu.value() + run.need.cpu.value());
   }
   worker.used += run.need;
-  worker.runs.insert_or_assign(task, std::move(run));
+  worker.runs.insert_or_assign(task, run);
 }
 
 void Unbind(Worker& worker, const TaskName& task) {
--- a/gypsumfall/duty/duty.cc
+++ b/gypsumfall/duty/duty.cc
@@ -16,6 +16,9 @@
 constexpr std::uint64_t kClaimSlots = 4;
 constexpr Duration kClaimSlot = milliseconds(15);
 constexpr Duration kSmallHostDelay = milliseconds(200);
+// On the first start nobody waits for the duty, and hosts start at slightly
+// different times.
+constexpr int kFirstStartFactor = 5;
 // Refusals further apart do not belong to one outage of the holder.
 constexpr Duration kRefusalMemory = seconds(1);
 
@@ -65,8 +68,8 @@
   // answer was lost; neither orders workers.
   if (record_->holder == self_) return DutyEnd::kOwnRow;
   if (replaced_) return DutyEnd::kHolderReplaced;
-  const bool outage = last_read_failure_ &&
-                      now < *last_read_failure_ + settings_.outage_grace;
+  const bool outage =
+      last_read_failure_ && now < *last_read_failure_ + settings_.outage_grace;
   if (!outage && now >= unchanged_since_ + settings_.lease + kLeaseMargin) {
     return DutyEnd::kLeaseOver;
   }
@@ -83,7 +86,8 @@
   const double missing = std::clamp(1.0 - settings_.processor_share, 0.0, 1.0);
   const Duration small_host(static_cast<std::int64_t>(
       missing * static_cast<double>(kSmallHostDelay.count())));
-  return kClaimSlot * static_cast<std::int64_t>(slot) + small_host;
+  return kClaimSlot * static_cast<std::int64_t>(slot) +
+         small_host * (record_ ? 1 : kFirstStartFactor);
 }
 
 std::optional<DutyClaim> DutyLease::Claim(Time now) {
@@ -108,8 +112,8 @@
     // Unless a whole lease has passed, the holder or one shortly before it may
     // act on: a cut refuses connections too, and a holder that took over by
     // that sign may have been replaced or have given the duty back since.
-    const bool waited = claim.reason == DutyEnd::kLeaseOver ||
-                        claim.reason == DutyEnd::kNoRow;
+    const bool waited =
+        claim.reason == DutyEnd::kLeaseOver || claim.reason == DutyEnd::kNoRow;
     predecessor_slack_ = waited ? Duration{0} : settings_.lease;
   }
   held_ = !claim.record.released;
--- a/gypsumfall/entry/internal/context.h
+++ b/gypsumfall/entry/internal/context.h
@@ -4,10 +4,10 @@
 #include <string>
 
 #include "gypsumfall/base/base.h"
-#include "gypsumfall/runtime/runtime.h"
 #include "gypsumfall/explain/explain.h"
 #include "gypsumfall/http/http.h"
 #include "gypsumfall/kernel/kernel.h"
+#include "gypsumfall/runtime/runtime.h"
 #include "gypsumfall/settings/settings.h"
 #include "gypsumfall/telemetry/telemetry.h"
 
--- a/gypsumfall/entry/internal/store_service.h
+++ b/gypsumfall/entry/internal/store_service.h
@@ -6,8 +6,8 @@
 #include <utility>
 
 #include "gypsumfall/entry/internal/context.h"
-#include "gypsumfall/store_client/store_client.h"
 #include "gypsumfall/protocol/protocol.h"
+#include "gypsumfall/store_client/store_client.h"
 
 namespace gypsumfall {
 
--- a/gypsumfall/http/wire.cc
+++ b/gypsumfall/http/wire.cc
@@ -69,9 +69,10 @@
   AppendHeader(out, "Content-Type", response.content_type);
   if (framing.close) AppendHeader(out, "Connection", "close");
   if (response.retry_after) {
-    AppendHeader(out, "Retry-After",
-                 std::to_string(
-                     std::chrono::ceil<seconds>(*response.retry_after).count()));
+    AppendHeader(
+        out, "Retry-After",
+        std::to_string(
+            std::chrono::ceil<seconds>(*response.retry_after).count()));
   }
   AppendBody(out, response.body, framing.header_only);
 }
@@ -101,11 +102,10 @@
          call.path.front() == '/' && call.path.find(' ') == std::string::npos &&
          IsHeaderText(call.path) && IsHeaderText(call.bearer) &&
          IsHeaderText(call.customer) &&
-         std::all_of(call.headers.begin(), call.headers.end(),
-                     [](const auto& header) {
-                       return IsHeaderText(header.first) &&
-                              IsHeaderText(header.second);
-                     });
+         std::all_of(
+             call.headers.begin(), call.headers.end(), [](const auto& header) {
+               return IsHeaderText(header.first) && IsHeaderText(header.second);
+             });
 }
 
 HttpMethod MethodOf(http::verb verb) {
--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -15,9 +15,7 @@
 enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
 /// @return whether the job never runs again.
-constexpr bool IsFinal(JobState state) {
-  return state >= JobState::kCompleted;
-}
+constexpr bool IsFinal(JobState state) { return state >= JobState::kCompleted; }
 
 /// What the queue's contract said when the job was accepted. Kept with the
 /// job, since the queue may be removed before the job has ended.
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -32,8 +32,7 @@
 // Durations travel as whole milliseconds.
 template <typename Visitor, typename T>
 void Millis(Visitor& visit, std::string_view name, T& value) {
-  std::int64_t count =
-      std::chrono::duration_cast<milliseconds>(value).count();
+  std::int64_t count = std::chrono::duration_cast<milliseconds>(value).count();
   Sparse(visit, name, count);
   if constexpr (!std::is_const_v<T>) value = milliseconds(count);
 }
--- a/gypsumfall/jobs/job_rules.cc
+++ b/gypsumfall/jobs/job_rules.cc
@@ -10,9 +10,9 @@
 Result<void> ValidateStep(const StepSpec& step, int index) {
   const std::string name = "step " + std::to_string(index);
   if (step.task_count < 1 || step.task_count > kMaxTasksPerStep) {
-    return Fail(ErrorKind::kBadRequest,
-                name + " must have 1 to " + std::to_string(kMaxTasksPerStep) +
-                    " tasks");
+    return Fail(ErrorKind::kBadRequest, name + " must have 1 to " +
+                                            std::to_string(kMaxTasksPerStep) +
+                                            " tasks");
   }
   if (!step.need.IsValid()) {
     return Fail(ErrorKind::kBadRequest, name + " needs a negative amount");
@@ -30,9 +30,9 @@
 
 Result<void> ValidateJob(const JobSpec& spec) {
   if (spec.payload.size() > kMaxPayloadBytes) {
-    return Fail(ErrorKind::kTooLarge, "the payload has over " +
-                                          std::to_string(kMaxPayloadBytes) +
-                                          " bytes");
+    return Fail(
+        ErrorKind::kTooLarge,
+        "the payload has over " + std::to_string(kMaxPayloadBytes) + " bytes");
   }
   if (spec.steps.empty() || spec.steps.size() > kMaxStepsPerJob) {
     return Fail(ErrorKind::kBadRequest,
--- a/gypsumfall/jobs/topology.cc
+++ b/gypsumfall/jobs/topology.cc
@@ -6,12 +6,12 @@
 
 JobTerms TermsOf(const QueueSettings& queue, const JobSpec& spec) {
   const auto chain = static_cast<double>(LongestChain(spec).count());
-  return {.service = queue.service,
-          .priority = queue.priority,
-          .max_attempts = queue.max_attempts,
-          .objective =
-              queue.latency_objective +
-              Duration(static_cast<std::int64_t>(chain * queue.stretch))};
+  return {
+      .service = queue.service,
+      .priority = queue.priority,
+      .max_attempts = queue.max_attempts,
+      .objective = queue.latency_objective +
+                   Duration(static_cast<std::int64_t>(chain * queue.stretch))};
 }
 
 const QueueSettings* Topology::FindQueue(const QueueId& id) const {
--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -29,8 +29,9 @@
 
 std::string_view AnswerName(CallerAnswer::Kind kind) {
   static constexpr std::array<std::string_view, 9> kNames = {
-      "accepted",      "state",       "cancelled", "queue_length", "unknown_job",
-      "unknown_queue", "bad_request", "try_later", "outcome_unknown"};
+      "accepted",     "state",       "cancelled",
+      "queue_length", "unknown_job", "unknown_queue",
+      "bad_request",  "try_later",   "outcome_unknown"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
 
@@ -59,13 +60,12 @@
   const LimitSettings& limits = context_.settings.limits;
   server_ = std::make_unique<Server>(
       context_.runtime.io(),
-      ServerOptions{.listen = context_.settings.host.listen_callers.ToString(),
-                    .max_body = static_cast<std::size_t>(limits.max_body.value()),
-                    .max_header =
-                        static_cast<std::size_t>(limits.max_header.value()),
-                    .max_connections =
-                        static_cast<std::size_t>(limits.max_connections),
-                    .header_timeout = limits.header_timeout},
+      ServerOptions{
+          .listen = context_.settings.host.listen_callers.ToString(),
+          .max_body = static_cast<std::size_t>(limits.max_body.value()),
+          .max_header = static_cast<std::size_t>(limits.max_header.value()),
+          .max_connections = static_cast<std::size_t>(limits.max_connections),
+          .header_timeout = limits.header_timeout},
       [this](const HttpRequest& request, Responder respond) {
         Handle(request, std::move(respond));
       });
@@ -75,11 +75,11 @@
 }
 
 void CallerService::Stop(std::function<void()> stopped) {
-  server_->Stop(kStopGrace, [this, stopped = std::move(stopped)](
-                                std::size_t cut_off) {
-    log_.Info("callers are served", {{"cut_off", cut_off}});
-    stopped();
-  });
+  server_->Stop(kStopGrace,
+                [this, stopped = std::move(stopped)](std::size_t cut_off) {
+                  log_.Info("callers are served", {{"cut_off", cut_off}});
+                  stopped();
+                });
 }
 
 std::string CallerService::Dump() const {
@@ -95,8 +95,7 @@
     TryLater(*exchange, "no configuration yet");
     return;
   }
-  auto decoded =
-      context_.ports.callers.decode(request, *topology_->topology());
+  auto decoded = context_.ports.callers.decode(request, *topology_->topology());
   if (!decoded) {
     Answer(*exchange, decoded.error());
     return;
@@ -177,17 +176,17 @@
 }
 
 void CallerService::AskState(const std::shared_ptr<Exchange>& exchange) {
-  peers_->AskState(
-      exchange->request.job, kPeerTimeout,
-      [this, exchange](const Result<JobStateReply>& reply) {
-        if (reply && reply->known) {
-          Answer(*exchange, {.kind = CallerAnswer::Kind::kState,
-                             .state = reply->state});
-          return;
-        }
-        // The scheduler may not have heard of a job that is stored.
-        ReadState(exchange);
-      });
+  peers_->AskState(exchange->request.job, kPeerTimeout,
+                   [this, exchange](const Result<JobStateReply>& reply) {
+                     if (reply && reply->known) {
+                       Answer(*exchange, {.kind = CallerAnswer::Kind::kState,
+                                          .state = reply->state});
+                       return;
+                     }
+                     // The scheduler may not have heard of a job that is
+                     // stored.
+                     ReadState(exchange);
+                   });
 }
 
 void CallerService::ReadState(const std::shared_ptr<Exchange>& exchange) {
@@ -195,10 +194,10 @@
       context_, exchange->request.job, kReadTimeout,
       [this, exchange](const Result<JobStateReply>& reply) {
         if (reply) {
-          Answer(*exchange, {.kind = reply->known
-                                         ? CallerAnswer::Kind::kState
-                                         : CallerAnswer::Kind::kUnknownJob,
-                             .state = reply->state});
+          Answer(*exchange,
+                 {.kind = reply->known ? CallerAnswer::Kind::kState
+                                       : CallerAnswer::Kind::kUnknownJob,
+                  .state = reply->state});
         } else if (HasTime(*exchange)) {
           RetryLater(exchange, [this, exchange] { AskState(exchange); });
         } else {
@@ -232,8 +231,7 @@
   LoadJobState(context_, exchange->request.job, kReadTimeout,
                [this, exchange, retry](const Result<JobStateReply>& stored) {
                  if (stored && !stored->known) {
-                   Answer(*exchange,
-                          {.kind = CallerAnswer::Kind::kUnknownJob});
+                   Answer(*exchange, {.kind = CallerAnswer::Kind::kUnknownJob});
                  } else if (HasTime(*exchange)) {
                    RetryLater(exchange, retry);
                  } else {
@@ -260,12 +258,13 @@
 void CallerService::RetryLater(const std::shared_ptr<Exchange>& exchange,
                                std::function<void()> retry) {
   auto timer = std::make_shared<std::unique_ptr<Timer>>();
-  *timer = std::make_unique<Timer>(
-      context_.runtime, [timer, exchange, retry = std::move(retry)] {
-        // Released at the end of this call, which owns the timer's callback.
-        const auto keep = std::move(*timer);
-        retry();
-      });
+  *timer = std::make_unique<Timer>(context_.runtime,
+                                   [timer, exchange, retry = std::move(retry)] {
+                                     // Released at the end of this call, which
+                                     // owns the timer's callback.
+                                     const auto keep = std::move(*timer);
+                                     retry();
+                                   });
   (*timer)->NotAfter(context_.Now() + kRetryDelay);
 }
 
@@ -280,9 +279,8 @@
   Answer(exchange,
          {.kind = CallerAnswer::Kind::kTryLater,
           .detail = std::move(detail),
-          .retry_after = std::clamp<Duration>(now - outage_since_,
-                                              kLeastRetryAfter,
-                                              kMostRetryAfter)});
+          .retry_after = std::clamp<Duration>(
+              now - outage_since_, kLeastRetryAfter, kMostRetryAfter)});
 }
 
 void CallerService::Answer(Exchange& exchange, const CallerAnswer& answer) {
@@ -291,15 +289,15 @@
   const bool is_state = answer.kind == CallerAnswer::Kind::kState ||
                         answer.kind == CallerAnswer::Kind::kQueueLength;
   if (!is_state) {
-    log_.Info("request answered",
-              {{"request", exchange.request.job},
-               {"queue", exchange.request.queue},
-               {"answer", AnswerName(answer.kind)},
-               {"after_ms", taken.count() / 1000},
-               {"configuration", topology_->topology()
-                                     ? topology_->topology()->version.value()
-                                     : 0},
-               {"why", answer.detail}});
+    log_.Info(
+        "request answered",
+        {{"request", exchange.request.job},
+         {"queue", exchange.request.queue},
+         {"answer", AnswerName(answer.kind)},
+         {"after_ms", taken.count() / 1000},
+         {"configuration",
+          topology_->topology() ? topology_->topology()->version.value() : 0},
+         {"why", answer.detail}});
   }
   exchange.respond(context_.ports.callers.encode(answer));
 }
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -159,9 +159,9 @@
 void DispatchService::StoreRecords(Time now) {
   if (duty_->is_storing()) return;
   const Duration age = now - duty_->last_stored();
-  const bool due = dispatcher_->HasEndedJobs() ? dispatcher_->HasRecords()
-                                               : dispatcher_->HasRecords() &&
-                                                     age >= kRecordDelay;
+  const bool due = dispatcher_->HasEndedJobs()
+                       ? dispatcher_->HasRecords()
+                       : dispatcher_->HasRecords() && age >= kRecordDelay;
   if (!due && age < kRenewInterval) return;
   RecordBatch batch =
       dispatcher_->TakeRecords(kMaxBatchRows, context_.WallNow());
@@ -297,7 +297,8 @@
 void DispatchService::SendLease(const LeaseOrder& order) {
   context_.ports.workers.lease(
       order, dispatcher_->epoch(), order.wait + kLeaseTimeout,
-      [this, order, turn = turn_, sent = context_.Now()](LeaseReply reply) {
+      [this, order, turn = turn_,
+       sent = context_.Now()](const LeaseReply& reply) {
         if (turn != turn_) return;
         if (reply.verdict == OrderVerdict::kUnanswered) unanswered_.Add();
         dispatcher_->OnLeaseReply(order, reply, sent, context_.Now(),
--- a/gypsumfall/scheduler/duty_service.cc
+++ b/gypsumfall/scheduler/duty_service.cc
@@ -39,10 +39,9 @@
   stopping_ = true;
   if (!lease_.has_duty() || storing_) return;
   const DutyClaim release = lease_.Release();
-  RowTransaction transaction{
-      .conditions = {{Address(), release.expected}},
-      .writes = {{Address(), Encode(release.record)}},
-      .removals = {}};
+  RowTransaction transaction{.conditions = {{Address(), release.expected}},
+                             .writes = {{Address(), Encode(release.record)}},
+                             .removals = {}};
   // From here on nothing is ordered, whether the row is stored or not.
   lease_.OnLost();
   on_lost();
@@ -122,10 +121,9 @@
              {"why", DutyEndName(claim->reason)},
              {"holder", lease_.record() ? lease_.record()->holder.str() : ""},
              {"row_version", claim->expected}});
-  RowTransaction transaction{
-      .conditions = {{Address(), claim->expected}},
-      .writes = {{Address(), Encode(claim->record)}},
-      .removals = {}};
+  RowTransaction transaction{.conditions = {{Address(), claim->expected}},
+                             .writes = {{Address(), Encode(claim->record)}},
+                             .removals = {}};
   context_.ports.store.transact(
       std::move(transaction), kStoreTimeout,
       [this, claim = *claim, sent = now](const TransactionReply& reply) {
@@ -164,7 +162,8 @@
       storing_->transaction, kStoreTimeout,
       [this, renewal = storing_->renewal.record.renewal,
        epoch = storing_->renewal.record.epoch](const TransactionReply& reply) {
-        const bool current = storing_ && storing_->renewal.record.renewal == renewal &&
+        const bool current = storing_ &&
+                             storing_->renewal.record.renewal == renewal &&
                              storing_->renewal.record.epoch == epoch;
         if (current) OnReply(reply);
       });
@@ -179,7 +178,8 @@
     // An earlier attempt without an answer may have been carried out.
     for (const StoredRow& row : reply.current) {
       const Result<DutyRecord> record = Decode<DutyRecord>(row.value);
-      if (row.address == Address() && record && *record == storing_->renewal.record) {
+      if (row.address == Address() && record &&
+          *record == storing_->renewal.record) {
         Finish(row.version);
         return;
       }
--- a/gypsumfall/scheduler/health_service.cc
+++ b/gypsumfall/scheduler/health_service.cc
@@ -26,9 +26,8 @@
 }
 
 void HealthService::Stop(std::function<void()> stopped) {
-  server_.Stop(kStopGrace, [stopped = std::move(stopped)](std::size_t) {
-    stopped();
-  });
+  server_.Stop(kStopGrace,
+               [stopped = std::move(stopped)](std::size_t) { stopped(); });
 }
 
 bool HealthService::IsReady() const {
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -58,8 +58,9 @@
     RowStore port;
     port.transact = [this](const RowTransaction& transaction, Duration,
                            UniqueFunction<TransactionReply> done) {
-      Post([done = std::move(done),
-            reply = Transact(transaction)]() mutable { done(reply); });
+      Post([done = std::move(done), reply = Transact(transaction)]() mutable {
+        done(reply);
+      });
     };
     port.read = [this](const RowRange& range, Duration,
                        UniqueFunction<RowPage> done) {
@@ -102,7 +103,7 @@
     }
     if (fault == Fault::kDown) return {StoreOutcome::kNotDone, {}, {}};
     if (fault == Fault::kCallLost) return {StoreOutcome::kUnknown, {}, {}};
-    const TransactionReply reply = Apply(transaction);
+    TransactionReply reply = Apply(transaction);
     if (fault == Fault::kAnswerLost) return {StoreOutcome::kUnknown, {}, {}};
     return reply;
   }
@@ -172,9 +173,8 @@
                        .incarnation = WallTime(1),
                        .running = {},
                        .ended = ended_};
-      boost::asio::post(io_, [done = std::move(done), reply]() mutable {
-        done(reply);
-      });
+      boost::asio::post(
+          io_, [done = std::move(done), reply]() mutable { done(reply); });
     };
     return port;
   }
@@ -191,8 +191,9 @@
 /// "GET /".
 inline CallerPort PlainCallers() {
   CallerPort port;
-  port.decode = [](const HttpRequest& request, const Topology&)
-      -> tl::expected<CallerRequest, CallerAnswer> {
+  port.decode =
+      [](const HttpRequest& request,
+         const Topology&) -> tl::expected<CallerRequest, CallerAnswer> {
     using Kind = CallerRequest::Kind;
     CallerRequest call{.queue = QueueId("q"),
                        .job = JobId(request.path.substr(1)),
@@ -218,8 +219,8 @@
       case Kind::kUnknownJob:
         return HttpResponse{.status = 410};
       default:
-        return HttpResponse{
-            .body = std::to_string(static_cast<int>(answer.state))};
+        return HttpResponse{.body =
+                                std::to_string(static_cast<int>(answer.state))};
     }
   };
   return port;
@@ -239,9 +240,9 @@
                                      static_cast<std::uint16_t>(port)};
     settings_.host.listen_peers = {"127.0.0.1",
                                    static_cast<std::uint16_t>(port + 1)};
-    context_ = std::make_unique<Context>(
-        Context{settings_, "process-" + name, runtime_, kernel_, peers_,
-                metrics_, ports_});
+    context_ = std::make_unique<Context>(Context{settings_, "process-" + name,
+                                                 runtime_, kernel_, peers_,
+                                                 metrics_, ports_});
     Register<TopologyService>(kTopologyService);
     Register<DutyService>(kDutyService);
     Register<WorkerListService>(kWorkerListService);
@@ -283,28 +284,27 @@
 
  private:
   static DirectoryPort Directory() {
-    return {.topology_row = {"op", "", "config"},
-            .worker_table = "workers",
-            .decode_topology =
-                [](const std::string& value) -> Result<Topology> {
-              if (value.empty()) return Fail(ErrorKind::kBadRequest, "empty");
-              Topology topology{
-                  .version = TopologyVersion(std::stoull(value))};
-              topology.queues.push_back({.id = QueueId("q"),
-                                         .path_prefix = "/",
-                                         .service = ServiceId("desk"),
-                                         .max_attempts = 2});
-              return topology;
-            },
-            .decode_worker = [](const StoredRow& row) -> Result<WorkerEntry> {
-              return WorkerEntry{
-                  .id = WorkerId(row.address.key),
-                  .endpoint = "worker:1",
-                  .service = ServiceId("desk"),
-                  .data_centre = DataCentreId("dc"),
-                  .capacity = {MilliCores(8000), MebiBytes(8000), {}},
-                  .labels = {}};
-            }};
+    return {
+        .topology_row = {"op", "", "config"},
+        .worker_table = "workers",
+        .decode_topology = [](const std::string& value) -> Result<Topology> {
+          if (value.empty()) return Fail(ErrorKind::kBadRequest, "empty");
+          Topology topology{.version = TopologyVersion(std::stoull(value))};
+          topology.queues.push_back({.id = QueueId("q"),
+                                     .path_prefix = "/",
+                                     .service = ServiceId("desk"),
+                                     .max_attempts = 2});
+          return topology;
+        },
+        .decode_worker = [](const StoredRow& row) -> Result<WorkerEntry> {
+          return WorkerEntry{
+              .id = WorkerId(row.address.key),
+              .endpoint = "worker:1",
+              .service = ServiceId("desk"),
+              .data_centre = DataCentreId("dc"),
+              .capacity = {MilliCores(8000), MebiBytes(8000), {}},
+              .labels = {}};
+        }};
   }
 
   template <typename T>
--- a/gypsumfall/scheduler/internal/peer_service.h
+++ b/gypsumfall/scheduler/internal/peer_service.h
@@ -41,7 +41,8 @@
   void ServeJobCall(const HttpRequest& request, Responder respond);
   void Call(std::string path, std::string body, Duration timeout,
             UniqueFunction<Result<std::string>> done);
-  void OnOutcome(CallOutcome outcome, UniqueFunction<Result<std::string>>& done);
+  void OnOutcome(CallOutcome outcome,
+                 UniqueFunction<Result<std::string>>& done);
 
   Context& context_;
   Logger log_{"peers"};
--- a/gypsumfall/scheduler/internal/stored_jobs.h
+++ b/gypsumfall/scheduler/internal/stored_jobs.h
@@ -33,8 +33,7 @@
 
 /// Reads the stored state.
 /// @param done gets the state, or an error if a part could not be read.
-void LoadState(Context& context,
-               UniqueFunction<Result<StoredState>> done);
+void LoadState(Context& context, UniqueFunction<Result<StoredState>> done);
 
 /// Reads the state of one job from the store.
 /// @param done gets whether the job is known and its state; an error if the
--- a/gypsumfall/scheduler/metrics_service.cc
+++ b/gypsumfall/scheduler/metrics_service.cc
@@ -28,9 +28,8 @@
 }
 
 void MetricsService::Stop(std::function<void()> stopped) {
-  server_.Stop(kStopGrace, [stopped = std::move(stopped)](std::size_t) {
-    stopped();
-  });
+  server_.Stop(kStopGrace,
+               [stopped = std::move(stopped)](std::size_t) { stopped(); });
 }
 
 void MetricsService::Serve(const HttpRequest& request, Responder respond) {
--- a/gypsumfall/scheduler/peer_service.cc
+++ b/gypsumfall/scheduler/peer_service.cc
@@ -48,9 +48,8 @@
 }
 
 void PeerService::Stop(std::function<void()> stopped) {
-  server_.Stop(kStopGrace, [stopped = std::move(stopped)](std::size_t) {
-    stopped();
-  });
+  server_.Stop(kStopGrace,
+               [stopped = std::move(stopped)](std::size_t) { stopped(); });
 }
 
 std::string PeerService::Dump() const {
@@ -160,10 +159,10 @@
     return respond({.body = Encode(dispatch_->StateOf(query->id))});
   }
   if (request.path == kCancelPath) {
-    dispatch_->Cancel(query->id, [respond = std::move(respond)](
-                                     bool known) mutable {
-      respond({.body = Encode(JobStateReply{known, JobState::kCancelled})});
-    });
+    dispatch_->Cancel(
+        query->id, [respond = std::move(respond)](bool known) mutable {
+          respond({.body = Encode(JobStateReply{known, JobState::kCancelled})});
+        });
     return;
   }
   respond(ErrorResponse(ErrorKind::kNotFound, request.path));
--- a/gypsumfall/scheduler/scheduler.cc
+++ b/gypsumfall/scheduler/scheduler.cc
@@ -30,10 +30,10 @@
 constexpr Duration kDrainNotice = milliseconds(2300);
 
 void ApplyLogging(const LoggingSettings& logging) {
-  SetUpLogging({.level = logging.level,
-                .descriptor = STDOUT_FILENO,
-                .max_lines_per_second =
-                    static_cast<int>(logging.max_lines_per_second)});
+  SetUpLogging(
+      {.level = logging.level,
+       .descriptor = STDOUT_FILENO,
+       .max_lines_per_second = static_cast<int>(logging.max_lines_per_second)});
 }
 
 std::string MakeProcessId() {
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -150,8 +150,9 @@
         context.ports.store.read(
             {kEndedTable, kPart, id.str()}, timeout,
             [key_of, done = std::move(done)](const RowPage& ended) mutable {
-              const StoredRow* end =
-                  ended.outcome == StoreOutcome::kDone ? key_of(ended) : nullptr;
+              const StoredRow* end = ended.outcome == StoreOutcome::kDone
+                                         ? key_of(ended)
+                                         : nullptr;
               if (end == nullptr) {
                 done(Fail(ErrorKind::kStoreUnavailable,
                           "the job's end can not be read"));
--- a/gypsumfall/scheduler/topology_service.cc
+++ b/gypsumfall/scheduler/topology_service.cc
@@ -31,24 +31,25 @@
 void TopologyService::ReadRow() {
   if (stopping_) return;
   const RowAddress& row = context_.ports.directory.topology_row;
-  context_.ports.store.read(
-      {row.table, row.part, row.key}, kReadTimeout, [this](RowPage page) {
-        if (page.outcome != StoreOutcome::kDone) {
-          RetryLater(page.outcome);
-          return;
-        }
-        failures_ = 0;
-        followed_ = page.version;
-        for (const StoredRow& each : page.rows) Apply(each);
-        AwaitChange();
-      });
+  context_.ports.store.read({row.table, row.part, row.key}, kReadTimeout,
+                            [this](const RowPage& page) {
+                              if (page.outcome != StoreOutcome::kDone) {
+                                RetryLater(page.outcome);
+                                return;
+                              }
+                              failures_ = 0;
+                              followed_ = page.version;
+                              for (const StoredRow& each : page.rows)
+                                Apply(each);
+                              AwaitChange();
+                            });
 }
 
 void TopologyService::AwaitChange() {
   if (stopping_) return;
   context_.ports.store.changes(
       context_.ports.directory.topology_row.table, followed_, kChangeWait,
-      kChangeWait + kReadTimeout, [this](RowPage page) {
+      kChangeWait + kReadTimeout, [this](const RowPage& page) {
         if (page.outcome != StoreOutcome::kDone) {
           RetryLater(page.outcome);
           return;
@@ -77,9 +78,9 @@
   Result<Topology> topology =
       context_.ports.directory.decode_topology(row.value);
   if (!topology) {
-    log_.Error("the configuration can not be read",
-               {{"row_version", row.version},
-                {"why", topology.error().detail}});
+    log_.Error(
+        "the configuration can not be read",
+        {{"row_version", row.version}, {"why", topology.error().detail}});
     return;
   }
   if (topology_ && topology->version <= topology_->version) return;
--- a/gypsumfall/scheduler/worker_list_service.cc
+++ b/gypsumfall/scheduler/worker_list_service.cc
@@ -46,7 +46,7 @@
 void WorkerListService::ReadAll() {
   if (!following_) return;
   LoadRows(context_, context_.ports.directory.worker_table, "", kReadTimeout,
-           [this, turn = turn_](LoadedRows loaded) {
+           [this, turn = turn_](const LoadedRows& loaded) {
              if (turn != turn_) return;
              if (loaded.outcome != StoreOutcome::kDone) {
                RetryLater(loaded.outcome);
@@ -61,26 +61,27 @@
 
 void WorkerListService::AwaitChange() {
   if (!following_) return;
-  context_.ports.store.changes(
-      context_.ports.directory.worker_table, followed_, kChangeWait,
-      kChangeWait + kReadTimeout, [this, turn = turn_](RowPage page) {
-        if (turn != turn_) return;
-        if (page.outcome != StoreOutcome::kDone) {
-          RetryLater(page.outcome);
-          return;
-        }
-        followed_ = std::max(followed_, page.version);
-        for (const StoredRow& row : page.rows) Apply(row);
-        AwaitChange();
-      });
+  context_.ports.store.changes(context_.ports.directory.worker_table, followed_,
+                               kChangeWait, kChangeWait + kReadTimeout,
+                               [this, turn = turn_](const RowPage& page) {
+                                 if (turn != turn_) return;
+                                 if (page.outcome != StoreOutcome::kDone) {
+                                   RetryLater(page.outcome);
+                                   return;
+                                 }
+                                 followed_ = std::max(followed_, page.version);
+                                 for (const StoredRow& row : page.rows)
+                                   Apply(row);
+                                 AwaitChange();
+                               });
 }
 
 void WorkerListService::RetryLater(StoreOutcome outcome) {
   last_failure_ = context_.Now();
   if (failures_++ == 0) {
-    log_.Warning("lost the worker list",
-                 {{"outcome", StoreOutcomeName(outcome)},
-                  {"listed", listed_.size()}});
+    log_.Warning(
+        "lost the worker list",
+        {{"outcome", StoreOutcomeName(outcome)}, {"listed", listed_.size()}});
   }
   const Duration delay = kFirstRetryDelay * (1 << std::min(failures_, 4));
   retry_.NotAfter(context_.Now() + std::min(delay, kMaxRetryDelay));
--- a/gypsumfall/settings/common_sections.cc
+++ b/gypsumfall/settings/common_sections.cc
@@ -48,10 +48,10 @@
 }
 
 std::vector<Field> Fields(LoggingSettings& logging) {
-  return {MakeField("level", kOptional, logging.level, ParseLevel),
-          MakeField("max_lines_per_second", kOptional,
-                    logging.max_lines_per_second,
-                    Within(ParseInteger, kLineRange))};
+  return {
+      MakeField("level", kOptional, logging.level, ParseLevel),
+      MakeField("max_lines_per_second", kOptional, logging.max_lines_per_second,
+                Within(ParseInteger, kLineRange))};
 }
 
 }  // namespace gypsumfall
--- a/gypsumfall/settings/scheduler_settings.cc
+++ b/gypsumfall/settings/scheduler_settings.cc
@@ -24,19 +24,19 @@
 constexpr Range<Duration> kRetentionRange{minutes(1), hours(24)};
 
 std::vector<Field> Fields(SchedulerHostSettings& host) {
-  return {MakeField("id", kRequired, host.id, ParseId, "entry-1"),
-          MakeField("data_centre", kRequired, host.data_centre, ParseId,
-                    "dc-1"),
-          MakeField("listen_callers", kRequired, host.listen_callers,
-                    ParseEndpoint, "10.0.0.1:7000"),
-          MakeField("listen_health", kRequired, host.listen_health,
-                    ParseEndpoint, "10.0.0.1:7001"),
-          MakeField("listen_peers", kRequired, host.listen_peers, ParseEndpoint,
-                    "10.0.0.1:7002"),
-          MakeField("listen_metrics", kRequired, host.listen_metrics,
-                    ParseEndpoint, "10.0.0.1:9464"),
-          MakeField("processor_share", kOptional, host.processor_share,
-                    Within(ParseFraction, kShareRange))};
+  return {
+      MakeField("id", kRequired, host.id, ParseId, "entry-1"),
+      MakeField("data_centre", kRequired, host.data_centre, ParseId, "dc-1"),
+      MakeField("listen_callers", kRequired, host.listen_callers, ParseEndpoint,
+                "10.0.0.1:7000"),
+      MakeField("listen_health", kRequired, host.listen_health, ParseEndpoint,
+                "10.0.0.1:7001"),
+      MakeField("listen_peers", kRequired, host.listen_peers, ParseEndpoint,
+                "10.0.0.1:7002"),
+      MakeField("listen_metrics", kRequired, host.listen_metrics, ParseEndpoint,
+                "10.0.0.1:9464"),
+      MakeField("processor_share", kOptional, host.processor_share,
+                Within(ParseFraction, kShareRange))};
 }
 
 std::vector<Field> Fields(SchedulerPlatformSettings& platform) {
--- a/gypsumfall/store_client/internal/clients.h
+++ b/gypsumfall/store_client/internal/clients.h
@@ -7,8 +7,8 @@
 
 #include "gypsumfall/base/base.h"
 #include "gypsumfall/http/http.h"
-#include "gypsumfall/store_client/internal/retry_budget.h"
 #include "gypsumfall/protocol/protocol.h"
+#include "gypsumfall/store_client/internal/retry_budget.h"
 
 namespace gypsumfall {
 
