--- a/gypsumfall/dispatch/dispatcher_starts.cc
+++ b/gypsumfall/dispatch/dispatcher_starts.cc
@@ -83,7 +83,7 @@
     MovePausedRuns(now);
     MoveStandingRuns(now);
     AddStopOrders(now, orders);
-    for (auto& [id, worker] : workers_) AddPaceOrders(worker, orders);
+    for (auto& [id, worker] : workers_) AddPaceOrders(worker, now, orders);
   }
   AddStartOrders(now, orders);
   AddLeaseOrders(now, orders);
@@ -118,7 +118,8 @@
   }
 }
 
-void Dispatcher::AddPaceOrders(Worker& worker, std::vector<Order>& orders) {
+void Dispatcher::AddPaceOrders(Worker& worker, Time now,
+                               std::vector<Order>& orders) {
   for (auto& [name, run] : worker.runs) {
     if (!run.fills || run.phase != RunPhase::kRunning || run.pace_open)
       continue;
@@ -127,6 +128,8 @@
     }
     run.told_percent = run.wanted_percent;
     run.pace_open = true;
+    // Its progress is judged anew from here.
+    run.progress_at = now;
     orders.emplace_back(PaceOrder{worker.entry.id, worker.entry.endpoint, name,
                                   run.number, run.wanted_percent});
   }
@@ -159,6 +162,7 @@
     for (auto& [name, run] : worker.runs) {
       if (!StandsStill(run, now)) continue;
       NoteFailure(worker, now);
+      if (Task* task = jobs_.FindTask(name)) task->failed_on = id;
       WantStop(worker, name, now, "makes no progress");
     }
   }
--- a/gypsumfall/dispatch/dispatcher_test.cc
+++ b/gypsumfall/dispatch/dispatcher_test.cc
@@ -307,6 +307,40 @@
   CHECK(world.violations.empty());
 }
 
+// A run that had been paused was taken for one that hangs as soon as it was let
+// go, and lost its work.
+TEST_CASE("a run that was paused is not taken for one that hangs") {
+  TestWorld world(1);
+  bool urgent = true;
+  world.usage_of = [&](const ModelWorker&, const TaskName& task) {
+    if (task.job == JobId("fill")) return 1000.0;
+    // Far over the target of 50 ms for a while, then well below it.
+    return urgent ? 200.0 : 10.0;
+  };
+  world.run_of = [](const TaskName&, int) {
+    return std::pair{Duration(seconds(40)), RunEnd::kDone};
+  };
+  StepSpec serving = Tasks(1);
+  serving.long_running = true;
+  serving.tail_target = milliseconds(50);
+  serving.image = ImageId("s");
+  StepSpec fill = Tasks(1, 500);
+  fill.fills = true;
+  fill.image = ImageId("f");
+  world.Submit(world.Record("serve", OneStep(serving)));
+  urgent = false;
+  world.Advance(seconds(2));
+  world.Submit(world.Record("fill", OneStep(fill)));
+  world.Advance(milliseconds(500));
+  REQUIRE(world.starts[{JobId("fill"), 0, 0, 0}] == 1);
+  urgent = true;
+  world.Advance(seconds(5));
+  CHECK(world.worker(0).runs.at({JobId("fill"), 0, 0, 0}).pace == 0);
+  urgent = false;
+  world.Advance(seconds(6));
+  CHECK(world.starts[{JobId("fill"), 0, 0, 0}] == 1);
+}
+
 // Load pattern: some workers take several times as long for the same work.
 TEST_CASE("a slow worker gets new work only when no other has room") {
   TestWorld world(3);
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -181,7 +181,7 @@
   void AddLeaseOrders(Time now, std::vector<Order>& orders);
   void MovePausedRuns(Time now);
   void MoveStandingRuns(Time now);
-  void AddPaceOrders(Worker& worker, std::vector<Order>& orders);
+  void AddPaceOrders(Worker& worker, Time now, std::vector<Order>& orders);
   void AddStopOrders(Time now, std::vector<Order>& orders);
   void AddStopOrder(Worker& worker, const TaskName& name, Run& run, Time now,
                     std::vector<Order>& orders);
--- a/gypsumfall/dispatch/internal/test_world.h
+++ b/gypsumfall/dispatch/internal/test_world.h
@@ -20,19 +20,19 @@
 inline constexpr Time kEpochStart{seconds(1000)};
 inline constexpr WallTime kWallStart{1'700'000'000'000};
 
+inline constexpr Duration kModelStep = milliseconds(10);
+
 /// A worker of the model. Its clock runs at a rate of its own.
 struct ModelWorker {
   struct ModelRun {
     RunNumber number;
-    Time started_at{};
-    Time ends_at{};
+    Duration length{0};
+    /// Work done; it grows at the pace.
+    Duration done{0};
     RunEnd end = RunEnd::kDone;
     int pace = 100;
 
-    int Percent(Time now) const {
-      return static_cast<int>(100 * (now - started_at) /
-                              (ends_at - started_at));
-    }
+    int Percent() const { return static_cast<int>(100 * done / length); }
   };
 
   WorkerEntry entry;
@@ -124,7 +124,7 @@
   void Advance(Duration duration) {
     const Time end = now_ + duration;
     while (now_ < end) {
-      now_ += milliseconds(10);
+      now_ += kModelStep;
       for (auto& [id, worker] : workers_) EndRuns(worker);
       Deliver();
       if (store_up_) StoreRecords();
@@ -195,10 +195,11 @@
     if (!worker.up) return;
     std::vector<std::pair<TaskName, RunEnd>> over;
     const bool lapsed = worker.Clock(now_) > worker.lease_until;
-    for (const auto& [name, run] : worker.runs) {
+    for (auto& [name, run] : worker.runs) {
+      run.done += kModelStep * run.pace / 100;
       if (lapsed) {
         over.emplace_back(name, RunEnd::kLeaseLapsed);
-      } else if (now_ >= run.ends_at) {
+      } else if (run.done >= run.length) {
         over.emplace_back(name, run.end);
       }
     }
@@ -260,7 +261,7 @@
     reply.incarnation = worker.incarnation;
     for (const auto& [name, run] : worker.runs) {
       const double usage = usage_of ? usage_of(worker, name) : 0;
-      const int percent = worker.hangs ? 0 : run.Percent(now_);
+      const int percent = worker.hangs ? 0 : run.Percent();
       reply.running.push_back({name, run.number, {}, percent, usage});
     }
     reply.ended = worker.ended;
@@ -303,9 +304,7 @@
     const auto [length, end] = run_of(order.task, start);
     worker.runs[order.task] = {
         .number = order.run,
-        .started_at = now_,
-        .ends_at =
-            now_ + (worker.hangs ? seconds(1000) : length * worker.slow_by),
+        .length = worker.hangs ? seconds(1000) : length * worker.slow_by,
         .end = worker.fails_all ? RunEnd::kFailed : end};
     CheckCapacity(worker);
     return OrderVerdict::kAccepted;
