--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -25,7 +25,7 @@
 using dispatch_internal::TaskPhase;
 
 Dispatcher::Dispatcher(const DispatchSettings& settings, Epoch epoch, Time now)
-    : settings_(settings), epoch_(epoch), started_at_(now) {
+    : settings_(settings), epoch_(epoch) {
   const Duration longest(static_cast<std::int64_t>(
       static_cast<double>(settings.max_lease.count()) / kSlowestWorkerClock));
   epoch_bound_ = now + settings.predecessor_slack + longest + kLeaseSlack;
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -23,8 +23,6 @@
   Duration max_lease = seconds(6);
   /// Longest time that a predecessor may have acted after it was replaced.
   Duration predecessor_slack{0};
-  /// Time after which a stop has taken effect on a sound worker.
-  Duration stop_timeout = milliseconds(900);
   /// Time that ended jobs are remembered.
   Duration ended_retention = std::chrono::minutes(10);
 };
@@ -199,7 +197,6 @@
 
   DispatchSettings settings_;
   Epoch epoch_;
-  Time started_at_;
   /// Time at which the leases of all earlier epochs are over.
   Time epoch_bound_;
   bool all_accounted_ = false;
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -98,7 +98,6 @@
   const DispatchSettings settings{
       .max_lease = timings.max_worker_lease,
       .predecessor_slack = duty_->lease().predecessor_slack(),
-      .stop_timeout = timings.stop_timeout,
       .ended_retention = timings.ended_retention};
   dispatcher_ = std::make_unique<Dispatcher>(
       settings, duty_->lease().record()->epoch, began_at_);
--- a/gypsumfall/settings/internal/scheduler_settings.h
+++ b/gypsumfall/settings/internal/scheduler_settings.h
@@ -34,8 +34,6 @@
 struct SchedulerTimings {
   /// Longest lease that a worker accepts.
   Duration max_worker_lease = seconds(6);
-  /// Time that a worker takes at most to stop a run.
-  Duration stop_timeout = milliseconds(900);
   /// Time that a job is known after it has ended.
   Duration ended_retention = std::chrono::minutes(10);
 };
--- a/gypsumfall/settings/scheduler_settings.cc
+++ b/gypsumfall/settings/scheduler_settings.cc
@@ -20,7 +20,6 @@
 // ones keep the work of a lost worker waiting.
 constexpr Range<Duration> kWorkerLeaseRange{seconds(3), minutes(10)};
 constexpr Range<double> kShareRange{0.001, 1024};
-constexpr Range<Duration> kStopTimeoutRange{milliseconds(1), minutes(1)};
 constexpr Range<Duration> kRetentionRange{minutes(1), hours(24)};
 
 std::vector<Field> Fields(SchedulerHostSettings& host) {
@@ -47,8 +46,6 @@
 std::vector<Field> Fields(SchedulerTimings& timings) {
   return {MakeField("max_worker_lease", kOptional, timings.max_worker_lease,
                     Within(ParseDuration, kWorkerLeaseRange)),
-          MakeField("stop_timeout", kOptional, timings.stop_timeout,
-                    Within(ParseDuration, kStopTimeoutRange)),
           MakeField("ended_retention", kOptional, timings.ended_retention,
                     Within(ParseDuration, kRetentionRange))};
 }
