Read one row where one is meant; follow the worker list less often; let larger hosts claim first

Cause: asking for one job read up to 500 rows behind it (600 KB over a small host's 10 Mbit/s link), so that an overloaded scheduler made every other host read the whole table. The worker list was read again after each heartbeat of any worker. Small hosts often saw first that the duty was over and took it. Placement added up the demand of each worker for each task.

--- a/gypsumfall/dispatch/interference_test.cc
+++ b/gypsumfall/dispatch/interference_test.cc
@@ -72,7 +72,7 @@
   Worker* LeastLoaded() {
     Worker* best = nullptr;
     for (auto& [id, worker] : workers) {
-      if (best == nullptr || FillDemand(worker) < FillDemand(*best)) {
+      if (best == nullptr || worker.fill_demand < best->fill_demand) {
         best = &worker;
       }
     }
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -115,6 +115,9 @@
   Resources used;
   /// Processors reserved by long-running runs.
   MilliCores long_running_cpu;
+  /// Thousandths of a core that runs that fill may use at their present
+  /// shares; see `UpdateFillDemand`.
+  double fill_demand = 0;
   /// Since when a serving run misses its target.
   Time target_missed_since{};
   Time pace_changed_at{};
@@ -146,8 +149,9 @@
 /// @return what remains for runs that do not fill.
 Resources Free(const Worker& worker);
 
-/// @return processors that runs that fill may use at their present shares.
-double FillDemand(const Worker& worker);
+/// Adds up what runs that fill may use. To be called after a share changed;
+/// placement reads the sum of each worker for each task.
+void UpdateFillDemand(Worker& worker);
 
 /// Binds a run to the worker and reserves its room.
 void Bind(Worker& worker, const TaskName& task, Run run);
--- a/gypsumfall/dispatch/pacing.cc
+++ b/gypsumfall/dispatch/pacing.cc
@@ -122,7 +122,9 @@
   } else {
     changed = ReleaseOne(worker, model);
   }
-  if (changed) worker.pace_changed_at = now;
+  if (!changed) return;
+  worker.pace_changed_at = now;
+  UpdateFillDemand(worker);
 }
 
 }  // namespace gypsumfall::dispatch_internal
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -61,7 +61,7 @@
   return static_cast<double>(Free(worker).cpu.value()) +
          kUnusedShareOfReserved *
              static_cast<double>(worker.long_running_cpu.value()) -
-         FillDemand(worker);
+         worker.fill_demand;
 }
 
 // @return serving runs of other images on the worker.
--- a/gypsumfall/dispatch/worker_table.cc
+++ b/gypsumfall/dispatch/worker_table.cc
@@ -46,13 +46,12 @@
   return worker.entry.capacity - worker.used;
 }
 
-double FillDemand(const Worker& worker) {
-  double demand = 0;
+void UpdateFillDemand(Worker& worker) {
+  worker.fill_demand = 0;
   for (const auto& [task, run] : worker.runs) {
-    demand +=
+    worker.fill_demand +=
         static_cast<double>(run.fill_cpu.value()) * run.wanted_percent / 100;
   }
-  return demand;
 }
 
 void Bind(Worker& worker, const TaskName& task, Run run) {
@@ -64,7 +63,9 @@
         MilliCores(worker.long_running_cpu.value() + run.need.cpu.value());
   }
   worker.used += run.need;
-  worker.runs.insert_or_assign(task, run);
+  const bool fills = run.fills;
+  worker.runs.insert_or_assign(task, std::move(run));
+  if (fills) UpdateFillDemand(worker);
 }
 
 void Unbind(Worker& worker, const TaskName& task) {
@@ -76,7 +77,9 @@
     worker.long_running_cpu =
         MilliCores(worker.long_running_cpu.value() - run.need.cpu.value());
   }
+  const bool fills = run.fills;
   worker.runs.erase(found);
+  if (fills) UpdateFillDemand(worker);
 }
 
 Worker& WorkerTable::Ensure(const WorkerId& id) {
--- a/gypsumfall/duty/duty.cc
+++ b/gypsumfall/duty/duty.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace gypsumfall {
@@ -19,6 +20,9 @@
 // On the first start nobody waits for the duty, and hosts start at slightly
 // different times.
 constexpr int kFirstStartFactor = 5;
+// A host with fewer processors than the last holder waits until each larger one
+// has read the row, which all do every 0.7 s, and could have claimed.
+constexpr Duration kSmallerHostDelay = milliseconds(1100);
 // Refusals further apart do not belong to one outage of the holder.
 constexpr Duration kRefusalMemory = seconds(1);
 
@@ -86,8 +90,14 @@
   const double missing = std::clamp(1.0 - settings_.processor_share, 0.0, 1.0);
   const Duration small_host(static_cast<std::int64_t>(
       missing * static_cast<double>(kSmallHostDelay.count())));
+  const bool smaller = record_ && Processors() < record_->processors;
   return kClaimSlot * static_cast<std::int64_t>(slot) +
-         small_host * (record_ ? 1 : kFirstStartFactor);
+         small_host * (record_ ? 1 : kFirstStartFactor) +
+         (smaller ? kSmallerHostDelay : Duration{0});
+}
+
+MilliCores DutyLease::Processors() const {
+  return MilliCores(std::lround(settings_.processor_share * 1000));
 }
 
 std::optional<DutyClaim> DutyLease::Claim(Time now) {
@@ -102,7 +112,8 @@
   DutyRecord record{.holder = self_,
                     .endpoint = endpoint_,
                     .process = process_,
-                    .epoch = record_ ? record_->epoch.Next() : Epoch(1)};
+                    .epoch = record_ ? record_->epoch.Next() : Epoch(1),
+                    .processors = Processors()};
   return DutyClaim{std::move(record), version_, reason};
 }
 
--- a/gypsumfall/duty/duty.h
+++ b/gypsumfall/duty/duty.h
@@ -113,6 +113,7 @@
  private:
   DutyEnd EndOf(Time now) const;
   Duration ClaimDelay() const;
+  MilliCores Processors() const;
 
   DutySettings settings_;
   EntryHostId self_;
--- a/gypsumfall/duty/duty_test.cc
+++ b/gypsumfall/duty/duty_test.cc
@@ -77,6 +77,23 @@
   CHECK(second.Claim(kStart + milliseconds(300)));
 }
 
+// Hosts read the row at different times, so that a smaller one often sees first
+// that a large holder is gone. It could not carry the holder's load.
+TEST_CASE("a host smaller than the last holder lets the others read first") {
+  DutySettings small;
+  small.processor_share = 0.12;
+  DutyLease host(small, EntryHostId("b"), "127.0.0.1:7001", "p2");
+  DutyRecord released = HeldBy("c");
+  released.released = true;
+  released.processors = MilliCores(500);
+  host.Observe(released, RowVersion(1), kStart);
+  CHECK_FALSE(host.Claim(kStart));
+  CHECK_FALSE(host.Claim(kStart + milliseconds(1000)));
+  const auto claim = host.Claim(kStart + milliseconds(1500));
+  REQUIRE(claim);
+  CHECK(claim->record.processors == MilliCores(120));
+}
+
 TEST_CASE("an unchanged duty is claimed after a whole lease, not before") {
   DutyLease host = Host("a");
   host.Observe(HeldBy("b"), RowVersion(5), kStart);
--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -84,6 +84,8 @@
   /// Process of the holder, so that a restart under the same name shows.
   std::string process;
   Epoch epoch;
+  /// Processors of the holder; 0 if it did not say.
+  MilliCores processors;
   /// Counts the renewals in the epoch.
   std::uint64_t renewal = 0;
   /// The holder has given the duty back and orders nothing any more.
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -124,6 +124,7 @@
   visit("endpoint", duty.endpoint);
   visit("process", duty.process);
   visit("epoch", duty.epoch);
+  Sparse(visit, "processors", duty.processors);
   visit("renewal", duty.renewal);
   visit("released", duty.released);
 }
--- a/gypsumfall/scheduler/duty_service.cc
+++ b/gypsumfall/scheduler/duty_service.cc
@@ -80,7 +80,7 @@
   if (reading_ || lease_.has_duty()) return;
   reading_ = true;
   next_read_ = context_.Now() + kReadInterval;
-  context_.ports.store.read({kDutyTable, kPart, kDutyKey}, kReadTimeout,
+  context_.ports.store.read(OnlyRow(Address()), kReadTimeout,
                             [this](const RowPage& page) {
                               reading_ = false;
                               OnRead(page);
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -54,6 +54,9 @@
     return found == rows_.end() ? nullptr : &found->second;
   }
 
+  /// Rows that reads have returned so far.
+  std::size_t rows_returned = 0;
+
   RowStore Port() {
     RowStore port;
     port.transact = [this](const RowTransaction& transaction, Duration,
@@ -134,9 +137,15 @@
     for (const auto& [key, row] : rows_) {
       if (row.address.table == range.table && row.address.part == range.part &&
           row.address.key >= range.from) {
+        if (range.limit > 0 &&
+            page.rows.size() >= static_cast<std::size_t>(range.limit)) {
+          page.has_more = true;
+          break;
+        }
         page.rows.push_back(row);
       }
     }
+    rows_returned += page.rows.size();
     return page;
   }
 
--- a/gypsumfall/scheduler/internal/worker_list_service.h
+++ b/gypsumfall/scheduler/internal/worker_list_service.h
@@ -39,6 +39,7 @@
   Context& context_;
   Logger log_{"worker-list"};
   Timer retry_;
+  Timer next_read_;
   Timer drop_;
   /// Grows with each start and end of following; answers of an earlier turn
   /// are ignored.
--- a/gypsumfall/scheduler/ports.h
+++ b/gypsumfall/scheduler/ports.h
@@ -92,8 +92,15 @@
   std::string part;
   /// First key; empty for all.
   std::string from;
+  /// Most rows to return; 0 for as many as the store puts into one page.
+  int limit = 0;
 };
 
+/// @return the range that holds only the row.
+inline RowRange OnlyRow(const RowAddress& row) {
+  return {row.table, row.part, row.key, 1};
+}
+
 struct RowPage {
   StoreOutcome outcome = StoreOutcome::kUnknown;
   std::vector<StoredRow> rows;
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -94,6 +94,18 @@
   }
 }
 
+// Reading the rows behind the job as well took seconds on a small host's link.
+TEST_CASE("asking for a job that the scheduler does not know reads one row") {
+  Deployment d;
+  for (int i = 0; i < 100; ++i) {
+    const JobId id("later" + std::to_string(i));
+    d.store.Put(JobAddress(id), "");
+  }
+  const std::size_t before = d.store.rows_returned;
+  CHECK(d.first->Ask(HttpMethod::kGet, "/job1").status == 410);
+  CHECK(d.store.rows_returned <= before + 1);
+}
+
 TEST_CASE("a cancelled job is stored as cancelled before the answer") {
   Deployment d;
   d.store.Put({"workers", "", "w1"}, "");
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -135,7 +135,7 @@
     return &page.rows.front();
   };
   context.ports.store.read(
-      {kJobTable, kPart, id.str()}, timeout,
+      OnlyRow(JobAddress(id)), timeout,
       [&context, id, timeout, key_of,
        done = std::move(done)](const RowPage& page) mutable {
         if (page.outcome != StoreOutcome::kDone) {
@@ -148,7 +148,7 @@
           return;
         }
         context.ports.store.read(
-            {kEndedTable, kPart, id.str()}, timeout,
+            OnlyRow(EndedAddress(id)), timeout,
             [key_of, done = std::move(done)](const RowPage& ended) mutable {
               const StoredRow* end = ended.outcome == StoreOutcome::kDone
                                          ? key_of(ended)
--- a/gypsumfall/scheduler/topology_service.cc
+++ b/gypsumfall/scheduler/topology_service.cc
@@ -31,7 +31,7 @@
 void TopologyService::ReadRow() {
   if (stopping_) return;
   const RowAddress& row = context_.ports.directory.topology_row;
-  context_.ports.store.read({row.table, row.part, row.key}, kReadTimeout,
+  context_.ports.store.read(OnlyRow(row), kReadTimeout,
                             [this](const RowPage& page) {
                               if (page.outcome != StoreOutcome::kDone) {
                                 RetryLater(page.outcome);
--- a/gypsumfall/scheduler/worker_list_service.cc
+++ b/gypsumfall/scheduler/worker_list_service.cc
@@ -9,6 +9,10 @@
 
 constexpr Duration kReadTimeout = milliseconds(800);
 constexpr Duration kChangeWait = milliseconds(1000);
+// Heartbeats of a large fleet change the list all the time. Reading the changes
+// this often joins many of them in one call, and is well below the time in
+// which a draining worker must get no more work.
+constexpr Duration kReadInterval = milliseconds(300);
 constexpr Duration kFirstRetryDelay = milliseconds(50);
 constexpr Duration kMaxRetryDelay = milliseconds(400);
 
@@ -23,6 +27,7 @@
 WorkerListService::WorkerListService(Context& context)
     : context_(context),
       retry_(context.runtime, [this] { ReadAll(); }),
+      next_read_(context.runtime, [this] { AwaitChange(); }),
       drop_(context.runtime, [this] { DropMissing(); }) {}
 
 void WorkerListService::Stop(std::function<void()> stopped) {
@@ -63,7 +68,8 @@
   if (!following_) return;
   context_.ports.store.changes(context_.ports.directory.worker_table, followed_,
                                kChangeWait, kChangeWait + kReadTimeout,
-                               [this, turn = turn_](const RowPage& page) {
+                               [this, turn = turn_,
+                                sent = context_.Now()](const RowPage& page) {
                                  if (turn != turn_) return;
                                  if (page.outcome != StoreOutcome::kDone) {
                                    RetryLater(page.outcome);
@@ -72,7 +78,7 @@
                                  followed_ = std::max(followed_, page.version);
                                  for (const StoredRow& row : page.rows)
                                    Apply(row);
-                                 AwaitChange();
+                                 next_read_.NotAfter(sent + kReadInterval);
                                });
 }
 
