--- a/gypsumfall/duty/duty.cc
+++ b/gypsumfall/duty/duty.cc
@@ -100,7 +100,7 @@
   return MilliCores(std::lround(settings_.processor_share * 1000));
 }
 
-std::optional<DutyClaim> DutyLease::Claim(Time now) {
+std::optional<DutyClaim> DutyLease::Claim(Time now, Duration handicap) {
   if (held_ || !known_) return std::nullopt;
   const DutyEnd reason = EndOf(now);
   if (reason == DutyEnd::kNotOver) {
@@ -108,7 +108,7 @@
     return std::nullopt;
   }
   if (!over_since_) over_since_ = now;
-  if (now < *over_since_ + ClaimDelay()) return std::nullopt;
+  if (now < *over_since_ + ClaimDelay() + handicap) return std::nullopt;
   DutyRecord record{.holder = self_,
                     .endpoint = endpoint_,
                     .process = process_,
--- a/gypsumfall/duty/duty.h
+++ b/gypsumfall/duty/duty.h
@@ -84,8 +84,9 @@
   void OnHolderReplaced();
 
   /// To be called often while this host does not have the duty.
+  /// @param handicap time that this host leaves to hosts that carry less.
   /// @return the row to put if this host should take over.
-  std::optional<DutyClaim> Claim(Time now);
+  std::optional<DutyClaim> Claim(Time now, Duration handicap = Duration{0});
   /// A claim or renewal was stored.
   /// @param claim what was stored.
   /// @param sent when it was sent.
--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -55,7 +55,7 @@
 
 Result<void> CallerService::Start() {
   topology_ = context_.kernel.Find<TopologyService>(kTopologyService);
-  duty_ = context_.kernel.Find<DutyService>(kDutyService);
+  shards_ = context_.kernel.Find<ShardService>(kShardService);
   peers_ = context_.kernel.Find<PeerService>(kPeerService);
   const LimitSettings& limits = context_.settings.limits;
   server_ = std::make_unique<Server>(
@@ -95,6 +95,10 @@
     TryLater(*exchange, "no configuration yet");
     return;
   }
+  if (!shards_->is_ready()) {
+    TryLater(*exchange, "the shards are not known yet");
+    return;
+  }
   auto decoded = context_.ports.callers.decode(request, *topology_->topology());
   if (!decoded) {
     Answer(*exchange, decoded.error());
@@ -123,7 +127,8 @@
 
 void CallerService::Submit(const std::shared_ptr<Exchange>& exchange) {
   CallerRequest& request = exchange->request;
-  const std::optional<DutyRecord>& duty = duty_->lease().record();
+  const std::optional<DutyRecord>& duty =
+      shards_->Of(request.job).duty.lease().record();
   const QueueSettings* queue = topology_->topology()->FindQueue(request.queue);
   exchange->record = {.id = request.job,
                       .queue = request.queue,
@@ -138,7 +143,8 @@
 void CallerService::StoreJob(const std::shared_ptr<Exchange>& exchange) {
   const Duration left = exchange->answer_by - context_.Now();
   context_.ports.store.transact(
-      AcceptTransaction(exchange->request.job, exchange->record_text),
+      AcceptTransaction(shards_->Of(exchange->request.job).scope,
+                        exchange->request.job, exchange->record_text),
       std::min(left, kStoreTimeout),
       [this, exchange](const TransactionReply& reply) {
         OnJobStored(exchange, reply);
@@ -191,8 +197,8 @@
 
 void CallerService::ReadState(const std::shared_ptr<Exchange>& exchange) {
   LoadJobState(
-      context_, exchange->request.job, kReadTimeout,
-      [this, exchange](const Result<JobStateReply>& reply) {
+      context_, shards_->Of(exchange->request.job).scope, exchange->request.job,
+      kReadTimeout, [this, exchange](const Result<JobStateReply>& reply) {
         if (reply) {
           Answer(*exchange,
                  {.kind = reply->known ? CallerAnswer::Kind::kState
@@ -228,7 +234,8 @@
     Answer(*exchange, {.kind = CallerAnswer::Kind::kCancelled});
     return;
   }
-  LoadJobState(context_, exchange->request.job, kReadTimeout,
+  LoadJobState(context_, shards_->Of(exchange->request.job).scope,
+               exchange->request.job, kReadTimeout,
                [this, exchange, retry](const Result<JobStateReply>& stored) {
                  if (stored && !stored->known) {
                    Answer(*exchange, {.kind = CallerAnswer::Kind::kUnknownJob});
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -10,8 +10,6 @@
 
 // Events within this time are decided on together.
 constexpr Duration kPumpDelay = milliseconds(1);
-// Without events the dispatcher looks at its deadlines this often.
-constexpr Duration kPumpInterval = milliseconds(40);
 // Records of unended jobs wait this long for others.
 constexpr Duration kRecordDelay = milliseconds(40);
 // Longest time between two renewals of the duty; well below its lease, so that
@@ -35,8 +33,14 @@
 
 }  // namespace
 
-DispatchService::DispatchService(Context& context)
+DispatchService::DispatchService(Context& context, const ShardScope& scope,
+                                 DutyService& duty, LayoutService& layout,
+                                 WorkerListService& worker_list)
     : context_(context),
+      scope_(scope),
+      duty_(duty),
+      layout_(layout),
+      worker_list_(worker_list),
       pump_(context.runtime, [this] { Pump(); }),
       load_retry_(context.runtime, [this] { Load(); }),
       starts_(context.metrics.AddCounter("runs_started")),
@@ -44,33 +48,36 @@
       unanswered_(context.metrics.AddCounter("orders_unanswered")),
       records_(context.metrics.AddCounter("record_batches_stored")),
       store_time_(context.metrics.AddLatency("record_store_seconds")),
-      takeover_time_(context.metrics.AddLatency("takeover_seconds")) {}
-
-Result<void> DispatchService::Start() {
-  duty_ = context_.kernel.Find<DutyService>(kDutyService);
-  worker_list_ = context_.kernel.Find<WorkerListService>(kWorkerListService);
-  duty_->on_held = [this] { Begin(); };
-  duty_->on_lost = [this] { End(); };
-  worker_list_->on_listed = [this](const WorkerEntry& entry) {
-    if (!dispatcher_) return;
-    dispatcher_->OnWorkerListed(entry, context_.Now());
-    PumpSoon();
-  };
-  worker_list_->on_unlisted = [this](const WorkerId& id) {
-    if (dispatcher_) dispatcher_->OnWorkerUnlisted(id, context_.Now());
-  };
-  context_.runtime.Every(kPumpInterval, [this] { Pump(); });
-  context_.runtime.Every(kJobScanInterval, [this] { FollowJobs(); });
-  return {};
+      takeover_time_(context.metrics.AddLatency("takeover_seconds")) {
+  duty_.on_held = [this] { Begin(); };
+  duty_.on_lost = [this] { End(); };
 }
 
-void DispatchService::Stop(std::function<void()> stopped) {
-  End();
-  stopped();
+void DispatchService::OnListed(const WorkerEntry& entry) {
+  if (!dispatcher_) return;
+  if (layout_.ShardOf(entry) != scope_.id) return;
+  dispatcher_->OnWorkerListed(entry, context_.Now());
+  PumpSoon();
+}
+
+void DispatchService::OnUnlisted(const WorkerId& id) {
+  if (dispatcher_) dispatcher_->OnWorkerUnlisted(id, context_.Now());
+}
+
+void DispatchService::OnRacksAssigned() {
+  if (dispatcher_) worker_list_.Replay(*this);
+}
+
+void DispatchService::Tick() {
+  if (!dispatcher_) return;
+  Pump();
+  if (context_.Now() < next_job_scan_) return;
+  next_job_scan_ = context_.Now() + kJobScanInterval;
+  FollowJobs();
 }
 
 bool DispatchService::is_scheduling() const {
-  return dispatcher_ != nullptr && duty_->lease().has_duty();
+  return dispatcher_ != nullptr && duty_.lease().has_duty();
 }
 
 void DispatchService::Begin() {
@@ -80,8 +87,8 @@
 }
 
 void DispatchService::Load() {
-  if (!duty_->lease().has_duty()) return;
-  LoadState(context_, [this, turn = turn_](Result<StoredState> loaded) {
+  if (!duty_.lease().has_duty()) return;
+  LoadState(context_, scope_, [this, turn = turn_](Result<StoredState> loaded) {
     if (turn == turn_) OnLoaded(std::move(loaded));
   });
 }
@@ -97,10 +104,10 @@
   const SchedulerTimings& timings = context_.settings.timings;
   const DispatchSettings settings{
       .max_lease = timings.max_worker_lease,
-      .predecessor_slack = duty_->lease().predecessor_slack(),
+      .predecessor_slack = duty_.lease().predecessor_slack(),
       .ended_retention = timings.ended_retention};
   dispatcher_ = std::make_unique<Dispatcher>(
-      settings, duty_->lease().record()->epoch, began_at_);
+      settings, duty_.lease().record()->epoch, began_at_);
   const WallTime wall_now = context_.WallNow();
   for (JobRecord& job : loaded->jobs) {
     dispatcher_->RestoreJob(std::move(job), now, wall_now);
@@ -113,23 +120,25 @@
   jobs_followed_ = loaded->version;
   takeover_time_.Record(now - began_at_);
   log_.Info("scheduling begins",
-            {{"epoch", dispatcher_->epoch()},
+            {{"shard", scope_.id},
+             {"epoch", dispatcher_->epoch()},
              {"jobs", loaded->jobs.size()},
              {"ended_jobs", loaded->ended.size()},
              {"workers_with_leases", loaded->roster.size()},
              {"load_ms", (now - began_at_).count() / 1000}});
-  worker_list_->Follow();
+  worker_list_.Follow(*this);
   PumpSoon();
 }
 
 void DispatchService::End() {
   ++turn_;
   if (dispatcher_) {
-    log_.Info("scheduling ends", {{"epoch", dispatcher_->epoch()}});
+    log_.Info("scheduling ends",
+              {{"shard", scope_.id}, {"epoch", dispatcher_->epoch()}});
     LogNotes();
   }
   dispatcher_.reset();
-  worker_list_->Unfollow();
+  worker_list_.Unfollow(*this);
   following_jobs_ = false;
   // Their callers are answered by the time-out of the forwarding host, which
   // then asks the next scheduler.
@@ -143,34 +152,34 @@
 void DispatchService::Pump() {
   if (!dispatcher_) return;
   const Time now = context_.Now();
-  if (duty_->lease().IsHeld(now)) {
+  if (duty_.lease().IsHeld(now)) {
     std::vector<Order> orders = dispatcher_->Decide(now);
     for (Order& order : orders) Send(order);
   }
   LogNotes();
   if (dispatcher_->is_superseded()) {
-    duty_->Resign();
+    duty_.Resign();
     return;
   }
   StoreRecords(now);
 }
 
 void DispatchService::StoreRecords(Time now) {
-  if (duty_->is_storing()) return;
-  const Duration age = now - duty_->last_stored();
+  if (duty_.is_storing()) return;
+  const Duration age = now - duty_.last_stored();
   const bool due = dispatcher_->HasEndedJobs()
                        ? dispatcher_->HasRecords()
                        : dispatcher_->HasRecords() && age >= kRecordDelay;
   if (!due && age < kRenewInterval) return;
   RecordBatch batch =
       dispatcher_->TakeRecords(kMaxBatchRows, context_.WallNow());
-  RowTransaction rows = BatchTransaction(batch);
-  duty_->Store(std::move(rows),
-               [this, turn = turn_, now, batch = std::move(batch)] {
-                 if (turn != turn_) return;
-                 store_time_.Record(context_.Now() - now);
-                 OnStored(batch);
-               });
+  RowTransaction rows = BatchTransaction(scope_, batch);
+  duty_.Store(std::move(rows),
+              [this, turn = turn_, now, batch = std::move(batch)] {
+                if (turn != turn_) return;
+                store_time_.Record(context_.Now() - now);
+                OnStored(batch);
+              });
 }
 
 void DispatchService::OnStored(const RecordBatch& batch) {
@@ -213,13 +222,13 @@
   if (!dispatcher_ || following_jobs_) return;
   following_jobs_ = true;
   context_.ports.store.changes(
-      kJobTable, jobs_followed_, Duration{0}, kJobScanTimeout,
+      scope_.job_table, jobs_followed_, Duration{0}, kJobScanTimeout,
       [this, turn = turn_](const RowPage& page) {
         if (turn != turn_) return;
         following_jobs_ = false;
         if (page.outcome == StoreOutcome::kHistoryGone) {
           jobs_followed_ = page.version;
-          LoadRows(context_, kJobTable, kPart, kJobScanTimeout,
+          LoadRows(context_, scope_.job_table, scope_.part, kJobScanTimeout,
                    [this, turn](const LoadedRows& loaded) {
                      if (turn != turn_) return;
                      if (loaded.outcome != StoreOutcome::kDone) return;
@@ -323,7 +332,8 @@
 
 void DispatchService::LogNotes() {
   for (const DispatchNote& note : dispatcher_->TakeNotes()) {
-    log_.Info(note.what, {{"epoch", dispatcher_->epoch()},
+    log_.Info(note.what, {{"shard", scope_.id},
+                          {"epoch", dispatcher_->epoch()},
                           {"request", note.task.job},
                           {"task", TaskText(note.task)},
                           {"run", note.run},
--- a/gypsumfall/scheduler/duty_service.cc
+++ b/gypsumfall/scheduler/duty_service.cc
@@ -9,53 +9,48 @@
 // A holder renews at least this often, see DispatchService; a host that reads
 // this often sees each renewal.
 constexpr Duration kReadInterval = milliseconds(700);
-constexpr Duration kTick = milliseconds(50);
 constexpr Duration kReadTimeout = milliseconds(600);
 constexpr Duration kStoreTimeout = milliseconds(700);
 constexpr Duration kFirstRetryDelay = milliseconds(20);
 constexpr Duration kMaxRetryDelay = milliseconds(320);
+// A host leaves a duty to hosts without one for this time, for each that it
+// has. Longer than a claim takes, short against the lease that has passed.
+constexpr Duration kHeldDutyHandicap = milliseconds(400);
 
 }  // namespace
 
-DutyService::DutyService(Context& context)
+DutyService::DutyService(Context& context, const ShardScope& scope,
+                         HostDuties& duties)
     : context_(context),
+      scope_(scope),
+      duties_(duties),
       lease_({.processor_share = context.settings.host.processor_share},
              context.settings.host.id,
              context.settings.host.listen_peers.ToString(), context.process),
       retry_(context.runtime, [this] { Send(); }) {}
 
-Result<void> DutyService::Start() {
-  context_.runtime.Every(kTick, [this] { Tick(); });
-  Read();
-  return {};
-}
-
-void DutyService::Stop(std::function<void()> stopped) {
-  stopping_ = true;
-  stopped();
-}
-
 void DutyService::Release() {
-  stopping_ = true;
   if (!lease_.has_duty() || storing_) return;
   const DutyClaim release = lease_.Release();
   RowTransaction transaction{.conditions = {{Address(), release.expected}},
                              .writes = {{Address(), Encode(release.record)}},
                              .removals = {}};
   // From here on nothing is ordered, whether the row is stored or not.
+  --duties_.held;
   lease_.OnLost();
   on_lost();
   context_.ports.store.transact(
       std::move(transaction), kStoreTimeout,
       [this](const TransactionReply& reply) {
         log_.Info("duty given back",
-                  {{"outcome", StoreOutcomeName(reply.outcome)}});
+                  {{"shard", scope_.id},
+                   {"outcome", StoreOutcomeName(reply.outcome)}});
         ReadSoon();
       });
 }
 
 void DutyService::Tick() {
-  if (stopping_) Release();
+  if (duties_.stopping) Release();
   if (lease_.has_duty()) return;
   if (context_.Now() >= next_read_) Read();
   TryClaim();
@@ -112,12 +107,15 @@
 
 void DutyService::TryClaim() {
   const Time now = context_.Now();
-  if (claiming_ || stopping_) return;
-  const std::optional<DutyClaim> claim = lease_.Claim(now);
-  if (!claim) return;
+  if (claiming_ || duties_.stopping) return;
+  const std::optional<DutyClaim> claim =
+      lease_.Claim(now, kHeldDutyHandicap * duties_.held);
+  if (!claim || duties_.claiming) return;
   claiming_ = true;
+  duties_.claiming = true;
   log_.Info("claiming the duty",
-            {{"epoch", claim->record.epoch},
+            {{"shard", scope_.id},
+             {"epoch", claim->record.epoch},
              {"why", DutyEndName(claim->reason)},
              {"holder", lease_.record() ? lease_.record()->holder.str() : ""},
              {"row_version", claim->expected}});
@@ -128,10 +126,14 @@
       std::move(transaction), kStoreTimeout,
       [this, claim = *claim, sent = now](const TransactionReply& reply) {
         claiming_ = false;
+        duties_.claiming = false;
         if (reply.outcome == StoreOutcome::kDone) {
           lease_.OnStored(claim, reply.version, sent);
           last_stored_ = sent;
-          log_.Info("duty held", {{"epoch", claim.record.epoch}});
+          ++duties_.held;
+          log_.Info("duty held", {{"shard", scope_.id},
+                                  {"epoch", claim.record.epoch},
+                                  {"held", duties_.held}});
           on_held();
           return;
         }
@@ -139,7 +141,8 @@
         // next read then shows a holder that is not scheduling; its own lease
         // check claims the following epoch.
         log_.Info("claim failed",
-                  {{"outcome", StoreOutcomeName(reply.outcome)}});
+                  {{"shard", scope_.id},
+                   {"outcome", StoreOutcomeName(reply.outcome)}});
         lease_.OnLost();
         ReadSoon();
       });
@@ -189,7 +192,8 @@
   }
   if (storing_->failures++ == 0) {
     log_.Warning("store does not take the scheduler's rows",
-                 {{"outcome", StoreOutcomeName(reply.outcome)},
+                 {{"shard", scope_.id},
+                  {"outcome", StoreOutcomeName(reply.outcome)},
                   {"rows", storing_->transaction.writes.size()}});
   }
   const Duration delay =
@@ -202,7 +206,7 @@
   storing_.reset();
   if (done.failures > 0) {
     log_.Info("store takes the scheduler's rows again",
-              {{"failures", done.failures}});
+              {{"shard", scope_.id}, {"failures", done.failures}});
   }
   lease_.OnStored(done.renewal, version, done.first_sent);
   last_stored_ = done.first_sent;
@@ -213,7 +217,8 @@
 
 void DutyService::Lose(std::string_view why) {
   storing_.reset();
-  log_.Warning("duty lost", {{"why", why}});
+  log_.Warning("duty lost", {{"shard", scope_.id}, {"why", why}});
+  --duties_.held;
   lease_.OnLost();
   ReadSoon();
   on_lost();
--- a/gypsumfall/scheduler/health_service.cc
+++ b/gypsumfall/scheduler/health_service.cc
@@ -20,6 +20,7 @@
 
 Result<void> HealthService::Start() {
   topology_ = context_.kernel.Find<TopologyService>(kTopologyService);
+  shards_ = context_.kernel.Find<ShardService>(kShardService);
   const Result<std::string> listening = server_.Start();
   if (!listening) return tl::unexpected<Error>(listening.error());
   return {};
@@ -31,7 +32,7 @@
 }
 
 bool HealthService::IsReady() const {
-  return !stopping_ && topology_->topology().has_value();
+  return !stopping_ && topology_->topology().has_value() && shards_->is_ready();
 }
 
 std::string HealthService::Dump() const {
--- a/gypsumfall/scheduler/internal/caller_service.h
+++ b/gypsumfall/scheduler/internal/caller_service.h
@@ -19,7 +19,7 @@
   explicit CallerService(Context& context);
 
   std::vector<std::string> dependencies() const override {
-    return {kTopologyService, kPeerService};
+    return {kTopologyService, kShardService, kPeerService};
   }
   Result<void> Start() override;
   /// Answers what was received, then closes.
@@ -50,7 +50,7 @@
   Context& context_;
   Logger log_{"callers"};
   TopologyService* topology_ = nullptr;
-  DutyService* duty_ = nullptr;
+  ShardService* shards_ = nullptr;
   PeerService* peers_ = nullptr;
   std::unique_ptr<Server> server_;
   LatencyHistogram& answer_time_;
--- a/gypsumfall/scheduler/internal/context.h
+++ b/gypsumfall/scheduler/internal/context.h
@@ -2,36 +2,55 @@
 #define GYPSUMFALL_SCHEDULER_INTERNAL_CONTEXT_H_
 
 #include <chrono>
+#include <string>
 
 #include "gypsumfall/http/http.h"
 #include "gypsumfall/kernel/kernel.h"
 #include "gypsumfall/runtime/runtime.h"
 #include "gypsumfall/scheduler/ports.h"
 #include "gypsumfall/settings/settings.h"
+#include "gypsumfall/shards/shards.h"
 #include "gypsumfall/telemetry/telemetry.h"
 
 namespace gypsumfall::scheduler_internal {
 
 // Names by which services find each other in the kernel.
 inline constexpr const char* kTopologyService = "topology";
-inline constexpr const char* kDutyService = "duty";
+inline constexpr const char* kLayoutService = "layout";
 inline constexpr const char* kWorkerListService = "worker-list";
-inline constexpr const char* kDispatchService = "dispatch";
+inline constexpr const char* kShardService = "shards";
 inline constexpr const char* kPeerService = "peers";
 inline constexpr const char* kCallerService = "callers";
 inline constexpr const char* kHealthService = "health";
 inline constexpr const char* kMetricsService = "metrics";
 
-// Tables of the scheduler. All rows that the scheduling host writes are in one
-// part, because a transaction covers one part only and each of its
-// transactions is conditional on the duty row.
-inline constexpr const char* kPart = "jobs";
 inline constexpr const char* kDutyTable = "duty";
 inline constexpr const char* kDutyKey = "scheduler";
 inline constexpr const char* kRosterKey = "roster";
-inline constexpr const char* kJobTable = "jobs";
 inline constexpr const char* kProgressTable = "progress";
 inline constexpr const char* kEndedTable = "ended";
+inline constexpr const char* kLayoutTable = "layout";
+inline constexpr const char* kLayoutKey = "shards";
+// Names the host that counts the workers for the first layout. Sorted before
+// the layout's key, so that one read shows both.
+inline constexpr const char* kCounterKey = "counter";
+
+/// Where the rows of one shard are.
+struct ShardScope {
+  ShardId id;
+  /// Part of all rows that the shard's scheduler writes: a transaction covers
+  /// one part only, and each is conditional on the shard's duty row.
+  std::string part;
+  /// Table of the shard's jobs. Each shard has its own, because changes are
+  /// followed by table.
+  std::string job_table;
+
+  explicit ShardScope(ShardId shard)
+      : id(shard),
+        part(shard == ShardId(0) ? "jobs"
+                                 : "jobs-" + std::to_string(shard.value())),
+        job_table(part) {}
+};
 
 /// What all services of a scheduling host share.
 struct Context {
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -11,23 +11,27 @@
 #include "gypsumfall/dispatch/dispatch.h"
 #include "gypsumfall/scheduler/internal/context.h"
 #include "gypsumfall/scheduler/internal/duty_service.h"
+#include "gypsumfall/scheduler/internal/layout_service.h"
 #include "gypsumfall/scheduler/internal/stored_jobs.h"
 #include "gypsumfall/scheduler/internal/worker_list_service.h"
 
 namespace gypsumfall::scheduler_internal {
 
-/// Runs the dispatcher while this host holds the duty: feeds it, sends its
-/// orders and stores its records.
-class DispatchService : public Service {
+/// Runs the dispatcher of a shard while this host holds its duty: feeds it,
+/// sends its orders and stores its records.
+class DispatchService : public WorkerListFollower {
  public:
-  explicit DispatchService(Context& context);
+  DispatchService(Context& context, const ShardScope& scope, DutyService& duty,
+                  LayoutService& layout, WorkerListService& worker_list);
 
-  std::vector<std::string> dependencies() const override {
-    return {kDutyService, kWorkerListService};
-  }
-  Result<void> Start() override;
-  void Stop(std::function<void()> stopped) override;
-  std::string Dump() const override;
+  /// To be called often.
+  void Tick();
+  /// Further racks have been assigned, maybe to this shard.
+  void OnRacksAssigned();
+  std::string Dump() const;
+
+  void OnListed(const WorkerEntry& entry) override;
+  void OnUnlisted(const WorkerId& id) override;
 
   /// @return whether this host schedules now.
   bool is_scheduling() const;
@@ -59,9 +63,11 @@
   void LogNotes();
 
   Context& context_;
+  const ShardScope& scope_;
   Logger log_{"dispatch"};
-  DutyService* duty_ = nullptr;
-  WorkerListService* worker_list_ = nullptr;
+  DutyService& duty_;
+  LayoutService& layout_;
+  WorkerListService& worker_list_;
   Timer pump_;
   Timer load_retry_;
   /// Grows whenever scheduling begins or ends; answers of another turn are
@@ -70,6 +76,7 @@
   std::unique_ptr<Dispatcher> dispatcher_;
   Time began_at_{};
   RowVersion jobs_followed_;
+  Time next_job_scan_{};
   bool following_jobs_ = false;
   std::multimap<JobId, UniqueFunction<bool>> cancels_;
 
--- a/gypsumfall/scheduler/internal/duty_service.h
+++ b/gypsumfall/scheduler/internal/duty_service.h
@@ -10,17 +10,25 @@
 
 namespace gypsumfall::scheduler_internal {
 
-/// Watches the duty row, takes the duty over when its holder is gone, and
-/// stores rows for the holder. Each transaction of the holder renews the duty
-/// under a condition on its row, so that a host that was replaced stores
-/// nothing any more.
-class DutyService : public Service {
+/// What the duties of one host have in common.
+struct HostDuties {
+  int held = 0;
+  /// One claim at a time: a host that is granted one leaves others to others.
+  bool claiming = false;
+  bool stopping = false;
+};
+
+/// Watches the duty row of a shard, takes the duty over when its holder is
+/// gone, and stores rows for the holder. Each transaction of the holder renews
+/// the duty under a condition on its row, so that a host that was replaced
+/// stores nothing any more.
+class DutyService {
  public:
-  explicit DutyService(Context& context);
+  DutyService(Context& context, const ShardScope& scope, HostDuties& duties);
 
-  Result<void> Start() override;
-  void Stop(std::function<void()> stopped) override;
-  std::string Dump() const override;
+  /// To be called often.
+  void Tick();
+  std::string Dump() const;
 
   /// @return the duty as last seen.
   const DutyLease& lease() const { return lease_; }
@@ -38,7 +46,7 @@
   bool is_storing() const { return storing_.has_value(); }
   /// Time at which the latest stored transaction was sent.
   Time last_stored() const { return last_stored_; }
-  /// Gives the duty back, if this host has it, and takes it no more.
+  /// Gives the duty back, if this host has it.
   void Release();
   /// Gives up the duty, because workers know a newer epoch.
   void Resign();
@@ -56,7 +64,6 @@
     int failures = 0;
   };
 
-  void Tick();
   void Read();
   void OnRead(const RowPage& page);
   void TryClaim();
@@ -64,9 +71,11 @@
   void OnReply(const TransactionReply& reply);
   void Finish(RowVersion version);
   void Lose(std::string_view why);
-  RowAddress Address() const { return {kDutyTable, kPart, kDutyKey}; }
+  RowAddress Address() const { return {kDutyTable, scope_.part, kDutyKey}; }
 
   Context& context_;
+  const ShardScope& scope_;
+  HostDuties& duties_;
   Logger log_{"duty"};
   DutyLease lease_;
   Timer retry_;
@@ -75,7 +84,6 @@
   Time next_read_{};
   bool reading_ = false;
   bool claiming_ = false;
-  bool stopping_ = false;
 };
 
 }  // namespace gypsumfall::scheduler_internal
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -17,9 +17,9 @@
 #include <vector>
 
 #include "gypsumfall/scheduler/internal/caller_service.h"
-#include "gypsumfall/scheduler/internal/dispatch_service.h"
-#include "gypsumfall/scheduler/internal/duty_service.h"
+#include "gypsumfall/scheduler/internal/layout_service.h"
 #include "gypsumfall/scheduler/internal/peer_service.h"
+#include "gypsumfall/scheduler/internal/shard_service.h"
 #include "gypsumfall/scheduler/internal/topology_service.h"
 #include "gypsumfall/scheduler/internal/worker_list_service.h"
 
@@ -239,11 +239,14 @@
 class TestHost {
  public:
   TestHost(boost::asio::io_context& io, FakeStore& store,
-           InstantWorkers& workers, const std::string& name, int port)
+           InstantWorkers& workers, const std::string& name, int port,
+           std::int64_t workers_per_shard = 128)
       : io_(io),
         runtime_(io),
         peers_(io, {}),
         ports_{store.Port(), workers.Port(), PlainCallers(), Directory()} {
+    settings_.scheduling.workers_per_shard = workers_per_shard;
+    settings_.timings.worker_heartbeat = milliseconds(100);
     settings_.host.id = EntryHostId(name);
     settings_.host.listen_callers = {"127.0.0.1",
                                      static_cast<std::uint16_t>(port)};
@@ -253,9 +256,9 @@
                                                  runtime_, kernel_, peers_,
                                                  metrics_, ports_});
     Register<TopologyService>(kTopologyService);
-    Register<DutyService>(kDutyService);
+    Register<LayoutService>(kLayoutService);
     Register<WorkerListService>(kWorkerListService);
-    Register<DispatchService>(kDispatchService);
+    Register<ShardService>(kShardService);
     Register<PeerService>(kPeerService);
     Register<CallerService>(kCallerService);
     REQUIRE(kernel_.Start());
@@ -286,12 +289,20 @@
   TopologyService& topology() {
     return *kernel_.Find<TopologyService>(kTopologyService);
   }
-  DutyService& duty() { return *kernel_.Find<DutyService>(kDutyService); }
-  DispatchService& dispatch() {
-    return *kernel_.Find<DispatchService>(kDispatchService);
+  LayoutService& layout() {
+    return *kernel_.Find<LayoutService>(kLayoutService);
   }
+  ShardService& shards() { return *kernel_.Find<ShardService>(kShardService); }
+  /// Of the first shard; waits until the shards are known.
+  DutyService& duty() { return FirstShard().duty; }
+  DispatchService& dispatch() { return FirstShard().dispatch; }
 
  private:
+  Shard& FirstShard() {
+    RunUntil([this] { return shards().is_ready(); });
+    return *shards().shards().front();
+  }
+
   static DirectoryPort Directory() {
     return {
         .topology_row = {"op", "", "config"},
@@ -312,7 +323,12 @@
               .service = ServiceId("desk"),
               .data_centre = DataCentreId("dc"),
               .capacity = {MilliCores(8000), MebiBytes(8000), {}},
-              .labels = {}};
+              .labels = {},
+              // Named before the dash in the worker's id, if there is one.
+              .rack = RackId(
+                  row.address.key.find('-') == std::string::npos
+                      ? ""
+                      : row.address.key.substr(0, row.address.key.find('-')))};
         }};
   }
 
--- a/gypsumfall/scheduler/internal/health_service.h
+++ b/gypsumfall/scheduler/internal/health_service.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "gypsumfall/scheduler/internal/context.h"
+#include "gypsumfall/scheduler/internal/shard_service.h"
 #include "gypsumfall/scheduler/internal/topology_service.h"
 
 namespace gypsumfall::scheduler_internal {
@@ -15,7 +16,7 @@
   explicit HealthService(Context& context);
 
   std::vector<std::string> dependencies() const override {
-    return {kTopologyService};
+    return {kTopologyService, kShardService};
   }
   Result<void> Start() override;
   void Stop(std::function<void()> stopped) override;
@@ -29,6 +30,7 @@
 
   Context& context_;
   TopologyService* topology_ = nullptr;
+  ShardService* shards_ = nullptr;
   Server server_;
   bool stopping_ = false;
 };
--- a/gypsumfall/scheduler/internal/peer_service.h
+++ b/gypsumfall/scheduler/internal/peer_service.h
@@ -3,21 +3,22 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "gypsumfall/scheduler/internal/context.h"
-#include "gypsumfall/scheduler/internal/dispatch_service.h"
-#include "gypsumfall/scheduler/internal/duty_service.h"
+#include "gypsumfall/scheduler/internal/shard_service.h"
 
 namespace gypsumfall::scheduler_internal {
 
-/// Reaches the scheduling host from any host: directly if it is this one,
-/// otherwise over HTTP. Serves the calls of the other hosts.
+/// Reaches the scheduling host of a shard from any host: directly if it is this
+/// one, otherwise over HTTP. Serves the calls of the other hosts. The shards
+/// must be known.
 class PeerService : public Service {
  public:
   explicit PeerService(Context& context);
 
   std::vector<std::string> dependencies() const override {
-    return {kDutyService, kDispatchService};
+    return {kShardService};
   }
   Result<void> Start() override;
   void Stop(std::function<void()> stopped) override;
@@ -29,6 +30,7 @@
   /// Each `done` gets an error if the scheduling host can not be asked.
   void AskState(const JobId& id, Duration timeout,
                 UniqueFunction<Result<JobStateReply>> done);
+  /// Adds up what all shards answer.
   void AskQueueLength(const QueueId& queue, Duration timeout,
                       UniqueFunction<Result<QueueLengthReply>> done);
   /// The answer tells whether the job is known; it is stored as cancelled or
@@ -38,16 +40,18 @@
 
  private:
   void Serve(const HttpRequest& request, Responder respond);
-  void ServeJobCall(const HttpRequest& request, Responder respond);
-  void Call(std::string path, std::string body, Duration timeout,
-            UniqueFunction<Result<std::string>> done);
-  void OnOutcome(CallOutcome outcome,
+  void ServeJobCall(DispatchService& dispatch, const HttpRequest& request,
+                    std::string_view call, Responder respond);
+  void Call(Shard& shard, std::string_view call, std::string body,
+            Duration timeout, UniqueFunction<Result<std::string>> done);
+  void OnOutcome(Shard& shard, CallOutcome outcome,
                  UniqueFunction<Result<std::string>>& done);
+  void AskQueueLength(Shard& shard, const QueueId& queue, Duration timeout,
+                      UniqueFunction<Result<QueueLengthReply>> done);
 
   Context& context_;
   Logger log_{"peers"};
-  DutyService* duty_ = nullptr;
-  DispatchService* dispatch_ = nullptr;
+  ShardService* shards_ = nullptr;
   Server server_;
   Counter& failed_calls_;
 };
--- a/gypsumfall/scheduler/internal/stored_jobs.h
+++ b/gypsumfall/scheduler/internal/stored_jobs.h
@@ -14,12 +14,14 @@
 
 /// @return the place of a job's record. It stays, emptied, after the job has
 ///   ended, so that a repeated submission does not run the job again.
-RowAddress JobAddress(const JobId& id);
+RowAddress JobAddress(const ShardScope& scope, const JobId& id);
 
 /// @return the transaction that stores an accepted job unless it is known.
-RowTransaction AcceptTransaction(const JobId& id, std::string record);
+RowTransaction AcceptTransaction(const ShardScope& scope, const JobId& id,
+                                 std::string record);
 /// @return the rows of a batch, without the duty row.
-RowTransaction BatchTransaction(const RecordBatch& batch);
+RowTransaction BatchTransaction(const ShardScope& scope,
+                                const RecordBatch& batch);
 
 /// All that earlier epochs have stored.
 struct StoredState {
@@ -31,15 +33,16 @@
   RowVersion version;
 };
 
-/// Reads the stored state.
+/// Reads the stored state of a shard.
 /// @param done gets the state, or an error if a part could not be read.
-void LoadState(Context& context, UniqueFunction<Result<StoredState>> done);
+void LoadState(Context& context, const ShardScope& scope,
+               UniqueFunction<Result<StoredState>> done);
 
 /// Reads the state of one job from the store.
 /// @param done gets whether the job is known and its state; an error if the
 ///   store does not answer.
-void LoadJobState(Context& context, const JobId& id, Duration timeout,
-                  UniqueFunction<Result<JobStateReply>> done);
+void LoadJobState(Context& context, const ShardScope& scope, const JobId& id,
+                  Duration timeout, UniqueFunction<Result<JobStateReply>> done);
 
 }  // namespace gypsumfall::scheduler_internal
 
--- a/gypsumfall/scheduler/internal/worker_list_service.h
+++ b/gypsumfall/scheduler/internal/worker_list_service.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,15 @@
 
 namespace gypsumfall::scheduler_internal {
 
+/// Learns of changes of the worker list.
+class WorkerListFollower {
+ public:
+  virtual ~WorkerListFollower() = default;
+  /// The worker is listed; again whenever its entry has changed.
+  virtual void OnListed(const WorkerEntry& entry) = 0;
+  virtual void OnUnlisted(const WorkerId& id) = 0;
+};
+
 /// Follows the worker list while this host schedules.
 class WorkerListService : public Service {
  public:
@@ -20,12 +30,12 @@
   void Stop(std::function<void()> stopped) override;
   std::string Dump() const override;
 
-  /// Reads the list and follows it until `Unfollow`.
-  void Follow();
-  void Unfollow();
-
-  std::function<void(const WorkerEntry&)> on_listed;
-  std::function<void(const WorkerId&)> on_unlisted;
+  /// Reads the list and follows it until the last follower has left. A
+  /// follower that is not the first learns at once what is listed.
+  void Follow(WorkerListFollower& follower);
+  void Unfollow(WorkerListFollower& follower);
+  /// Tells the follower again what is listed.
+  void Replay(WorkerListFollower& follower) const;
 
  private:
   void ReadAll();
@@ -44,7 +54,7 @@
   /// Grows with each start and end of following; answers of an earlier turn
   /// are ignored.
   std::uint64_t turn_ = 0;
-  bool following_ = false;
+  std::set<WorkerListFollower*> followers_;
   RowVersion followed_;
   int failures_ = 0;
   Time last_failure_{};
--- a/gypsumfall/scheduler/peer_service.cc
+++ b/gypsumfall/scheduler/peer_service.cc
@@ -1,14 +1,18 @@
 #include "gypsumfall/scheduler/internal/peer_service.h"
 
+#include <charconv>
+#include <memory>
 #include <utility>
 
 namespace gypsumfall::scheduler_internal {
 namespace {
 
-constexpr const char* kAcceptedPath = "/scheduler/v1/accepted";
-constexpr const char* kStatePath = "/scheduler/v1/state";
-constexpr const char* kCancelPath = "/scheduler/v1/cancel";
-constexpr const char* kQueuePath = "/scheduler/v1/queue-length";
+// Calls go to /scheduler/v1/SHARD/CALL.
+constexpr std::string_view kPathPrefix = "/scheduler/v1/";
+constexpr std::string_view kAcceptedCall = "accepted";
+constexpr std::string_view kStateCall = "state";
+constexpr std::string_view kCancelCall = "cancel";
+constexpr std::string_view kQueueCall = "queue-length";
 
 constexpr Duration kReportTimeout = milliseconds(500);
 constexpr Duration kStopGrace = seconds(1);
@@ -40,8 +44,7 @@
       failed_calls_(context.metrics.AddCounter("peer_calls_failed")) {}
 
 Result<void> PeerService::Start() {
-  duty_ = context_.kernel.Find<DutyService>(kDutyService);
-  dispatch_ = context_.kernel.Find<DispatchService>(kDispatchService);
+  shards_ = context_.kernel.Find<ShardService>(kShardService);
   const Result<std::string> listening = server_.Start();
   if (!listening) return tl::unexpected<Error>(listening.error());
   return {};
@@ -58,11 +61,12 @@
 
 void PeerService::ReportAccepted(const JobRecord& record,
                                  const std::string& text) {
-  if (dispatch_->is_scheduling()) {
-    dispatch_->OnAccepted(record);
+  Shard& shard = shards_->Of(record.id);
+  if (shard.dispatch.is_scheduling()) {
+    shard.dispatch.OnAccepted(record);
     return;
   }
-  Call(kAcceptedPath, text, kReportTimeout,
+  Call(shard, kAcceptedCall, text, kReportTimeout,
        [this, id = record.id](const Result<std::string>& reply) {
          if (reply) return;
          log_.Info("accepted job not reported; the scheduler will find it",
@@ -72,21 +76,47 @@
 
 void PeerService::AskState(const JobId& id, Duration timeout,
                            UniqueFunction<Result<JobStateReply>> done) {
-  if (dispatch_->is_scheduling()) {
-    done(dispatch_->StateOf(id));
+  Shard& shard = shards_->Of(id);
+  if (shard.dispatch.is_scheduling()) {
+    done(shard.dispatch.StateOf(id));
     return;
   }
-  Call(kStatePath, Encode(JobQuery{id}), timeout, DecodeInto(std::move(done)));
+  Call(shard, kStateCall, Encode(JobQuery{id}), timeout,
+       DecodeInto(std::move(done)));
 }
 
 void PeerService::AskQueueLength(
     const QueueId& queue, Duration timeout,
     UniqueFunction<Result<QueueLengthReply>> done) {
-  if (dispatch_->is_scheduling()) {
-    done(QueueLengthReply{dispatch_->CountWaiting(queue)});
+  struct Sum {
+    std::size_t open = 0;
+    Result<QueueLengthReply> total = QueueLengthReply{};
+    UniqueFunction<Result<QueueLengthReply>> done;
+  };
+  auto sum = std::make_shared<Sum>();
+  sum->open = shards_->shards().size();
+  sum->done = std::move(done);
+  for (const auto& shard : shards_->shards()) {
+    AskQueueLength(*shard, queue, timeout,
+                   [sum](Result<QueueLengthReply> reply) {
+                     if (!reply) {
+                       sum->total = std::move(reply);
+                     } else if (sum->total) {
+                       sum->total->waiting += reply->waiting;
+                     }
+                     if (--sum->open == 0) sum->done(std::move(sum->total));
+                   });
+  }
+}
+
+void PeerService::AskQueueLength(
+    Shard& shard, const QueueId& queue, Duration timeout,
+    UniqueFunction<Result<QueueLengthReply>> done) {
+  if (shard.dispatch.is_scheduling()) {
+    done(QueueLengthReply{shard.dispatch.CountWaiting(queue)});
     return;
   }
-  Call(kQueuePath, Encode(QueueQuery{queue}), timeout,
+  Call(shard, kQueueCall, Encode(QueueQuery{queue}), timeout,
        DecodeInto(std::move(done)));
 }
 
@@ -94,25 +124,31 @@
                          UniqueFunction<Result<JobStateReply>> done) {
   // Also when this host schedules the call goes over HTTP, so that a lost duty
   // ends in the call's time-out instead of in silence.
-  Call(kCancelPath, Encode(JobQuery{id}), timeout, DecodeInto(std::move(done)));
+  Call(shards_->Of(id), kCancelCall, Encode(JobQuery{id}), timeout,
+       DecodeInto(std::move(done)));
 }
 
-void PeerService::Call(std::string path, std::string body, Duration timeout,
+void PeerService::Call(Shard& shard, std::string_view call, std::string body,
+                       Duration timeout,
                        UniqueFunction<Result<std::string>> done) {
-  const std::optional<DutyRecord>& duty = duty_->lease().record();
+  const std::optional<DutyRecord>& duty = shard.duty.lease().record();
   if (!duty || duty->released) {
-    duty_->ReadSoon();
+    shard.duty.ReadSoon();
     done(Fail(ErrorKind::kOwnerUnavailable, "no host schedules"));
     return;
   }
+  std::string path = std::string(kPathPrefix) +
+                     std::to_string(shard.scope.id.value()) + "/" +
+                     std::string(call);
   context_.peers.Call(
       duty->endpoint, {.path = std::move(path), .body = std::move(body)},
-      timeout, [this, done = std::move(done)](CallOutcome outcome) mutable {
-        OnOutcome(std::move(outcome), done);
+      timeout,
+      [this, &shard, done = std::move(done)](CallOutcome outcome) mutable {
+        OnOutcome(shard, std::move(outcome), done);
       });
 }
 
-void PeerService::OnOutcome(CallOutcome outcome,
+void PeerService::OnOutcome(Shard& shard, CallOutcome outcome,
                             UniqueFunction<Result<std::string>>& done) {
   if (!outcome.failure && outcome.status == 200) {
     done(std::move(outcome.body));
@@ -120,46 +156,63 @@
   }
   failed_calls_.Add();
   if (outcome.failure) {
-    if (*outcome.failure == CallFailure::kRefused) duty_->OnHolderRefused();
+    if (*outcome.failure == CallFailure::kRefused) shard.duty.OnHolderRefused();
     done(Fail(ErrorKind::kOwnerUnavailable,
               std::string(CallFailureName(*outcome.failure))));
     return;
   }
-  if (outcome.status == kNotScheduling) duty_->OnHolderReplaced(outcome.body);
+  if (outcome.status == kNotScheduling) {
+    shard.duty.OnHolderReplaced(outcome.body);
+  }
   done(Fail(ErrorKind::kOwnerUnavailable,
             "status " + std::to_string(outcome.status)));
 }
 
 void PeerService::Serve(const HttpRequest& request, Responder respond) {
-  if (!request.path.starts_with("/scheduler/v1/")) {
-    respond(ErrorResponse(ErrorKind::kNotFound, request.path));
-  } else if (!dispatch_->is_scheduling()) {
+  std::string_view path = request.path;
+  if (!path.starts_with(kPathPrefix)) {
+    return respond(ErrorResponse(ErrorKind::kNotFound, request.path));
+  }
+  path.remove_prefix(kPathPrefix.size());
+  std::uint64_t number = 0;
+  const auto [end, failed] =
+      std::from_chars(path.data(), path.data() + path.size(), number);
+  path.remove_prefix(static_cast<std::size_t>(end - path.data()));
+  if (failed != std::errc() || !path.starts_with('/')) {
+    return respond(ErrorResponse(ErrorKind::kNotFound, request.path));
+  }
+  path.remove_prefix(1);
+  // A host that has just started may not know the shards yet.
+  Shard* shard = shards_->At(ShardId(number));
+  if (shard == nullptr || !shard->dispatch.is_scheduling()) {
     respond({.status = kNotScheduling, .body = context_.process});
   } else {
-    ServeJobCall(request, std::move(respond));
+    ServeJobCall(shard->dispatch, request, path, std::move(respond));
   }
 }
 
-void PeerService::ServeJobCall(const HttpRequest& request, Responder respond) {
-  if (request.path == kAcceptedPath) {
+void PeerService::ServeJobCall(DispatchService& dispatch,
+                               const HttpRequest& request,
+                               std::string_view call, Responder respond) {
+  if (call == kAcceptedCall) {
     Result<JobRecord> record = Decode<JobRecord>(request.body);
     if (!record) return respond(ErrorResponse(record.error()));
-    dispatch_->OnAccepted(*std::move(record));
+    dispatch.OnAccepted(*std::move(record));
     return respond({.body = "{}"});
   }
-  if (request.path == kQueuePath) {
+  if (call == kQueueCall) {
     Result<QueueQuery> query = Decode<QueueQuery>(request.body);
     if (!query) return respond(ErrorResponse(query.error()));
     return respond({.body = Encode(QueueLengthReply{
-                        dispatch_->CountWaiting(query->queue)})});
+                        dispatch.CountWaiting(query->queue)})});
   }
   Result<JobQuery> query = Decode<JobQuery>(request.body);
   if (!query) return respond(ErrorResponse(query.error()));
-  if (request.path == kStatePath) {
-    return respond({.body = Encode(dispatch_->StateOf(query->id))});
+  if (call == kStateCall) {
+    return respond({.body = Encode(dispatch.StateOf(query->id))});
   }
-  if (request.path == kCancelPath) {
-    dispatch_->Cancel(
+  if (call == kCancelCall) {
+    dispatch.Cancel(
         query->id, [respond = std::move(respond)](bool known) mutable {
           respond({.body = Encode(JobStateReply{known, JobState::kCancelled})});
         });
--- a/gypsumfall/scheduler/scheduler.cc
+++ b/gypsumfall/scheduler/scheduler.cc
@@ -12,11 +12,11 @@
 
 #include "gypsumfall/scheduler/internal/caller_service.h"
 #include "gypsumfall/scheduler/internal/context.h"
-#include "gypsumfall/scheduler/internal/dispatch_service.h"
-#include "gypsumfall/scheduler/internal/duty_service.h"
 #include "gypsumfall/scheduler/internal/health_service.h"
+#include "gypsumfall/scheduler/internal/layout_service.h"
 #include "gypsumfall/scheduler/internal/metrics_service.h"
 #include "gypsumfall/scheduler/internal/peer_service.h"
+#include "gypsumfall/scheduler/internal/shard_service.h"
 #include "gypsumfall/scheduler/internal/topology_service.h"
 #include "gypsumfall/scheduler/internal/worker_list_service.h"
 
@@ -58,9 +58,9 @@
 
   int Run() {
     Register<TopologyService>(kTopologyService);
-    Register<DutyService>(kDutyService);
+    Register<LayoutService>(kLayoutService);
     Register<WorkerListService>(kWorkerListService);
-    Register<DispatchService>(kDispatchService);
+    Register<ShardService>(kShardService);
     Register<PeerService>(kPeerService);
     Register<CallerService>(kCallerService);
     Register<HealthService>(kHealthService);
@@ -114,7 +114,7 @@
     stopping_ = true;
     log_.Info("planned stop begins");
     kernel_.Find<HealthService>(kHealthService)->SetStopping();
-    kernel_.Find<DutyService>(kDutyService)->Release();
+    kernel_.Find<ShardService>(kShardService)->Release();
     drain_ = std::make_unique<Timer>(runtime_, [this] {
       kernel_.Stop([this] {
         log_.Info("planned stop is complete");
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -1,6 +1,9 @@
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "gypsumfall/scheduler/internal/fake_ports.h"
 #include "gypsumfall/scheduler/internal/stored_jobs.h"
@@ -12,6 +15,8 @@
 
 constexpr int kFirstPort = 29310;
 
+const ShardScope kOnlyShard{ShardId(0)};
+
 RowAddress Config() { return {"op", "", "config"}; }
 
 // The state as `PlainCallers` answers it.
@@ -37,12 +42,12 @@
 TEST_CASE("a job is stored before it is accepted, runs, and is completed") {
   Deployment d;
   CHECK(d.first->Ask(HttpMethod::kPost, "/job1").status == 200);
-  REQUIRE(d.store.Find(JobAddress(JobId("job1"))) != nullptr);
+  REQUIRE(d.store.Find(JobAddress(kOnlyShard, JobId("job1"))) != nullptr);
   while (d.first->Ask(HttpMethod::kGet, "/job1").body !=
          Text(JobState::kCompleted)) {
   }
   // The record stays, emptied, so that the same id is not run again.
-  CHECK(d.store.Find(JobAddress(JobId("job1")))->value.empty());
+  CHECK(d.store.Find(JobAddress(kOnlyShard, JobId("job1")))->value.empty());
   CHECK(d.first->Ask(HttpMethod::kPost, "/job1").status == 200);
   CHECK(d.first->Ask(HttpMethod::kGet, "/job1").body ==
         Text(JobState::kCompleted));
@@ -56,7 +61,7 @@
   d.store.Break(Fault::kDown, 1000);
   const CallOutcome refused = d.first->Ask(HttpMethod::kPost, "/job1");
   CHECK(refused.status == 503);
-  CHECK(d.store.Find(JobAddress(JobId("job1"))) == nullptr);
+  CHECK(d.store.Find(JobAddress(kOnlyShard, JobId("job1"))) == nullptr);
   d.store.Break(Fault::kNone, 0);
   CHECK(d.first->Ask(HttpMethod::kPost, "/job1").status == 200);
 }
@@ -87,7 +92,7 @@
   JobRecord record{.id = JobId("unheard"), .queue = QueueId("q")};
   record.terms.service = ServiceId("desk");
   record.spec.steps.push_back({.task_count = 1});
-  d.store.Put(JobAddress(record.id), Encode(record));
+  d.store.Put(JobAddress(kOnlyShard, record.id), Encode(record));
   CHECK(d.first->Ask(HttpMethod::kGet, "/unheard").status == 200);
   while (d.first->Ask(HttpMethod::kGet, "/unheard").body !=
          Text(JobState::kCompleted)) {
@@ -99,7 +104,7 @@
   Deployment d;
   for (int i = 0; i < 100; ++i) {
     const JobId id("later" + std::to_string(i));
-    d.store.Put(JobAddress(id), "");
+    d.store.Put(JobAddress(kOnlyShard, id), "");
   }
   const std::size_t before = d.store.rows_returned;
   CHECK(d.first->Ask(HttpMethod::kGet, "/job1").status == 410);
@@ -111,7 +116,7 @@
   d.store.Put({"workers", "", "w1"}, "");
   CHECK(d.first->Ask(HttpMethod::kPost, "/job1").status == 200);
   CHECK(d.first->Ask(HttpMethod::kDelete, "/job1").status == 200);
-  CHECK(d.store.Find({kEndedTable, kPart, "job1"}) != nullptr);
+  CHECK(d.store.Find({kEndedTable, kOnlyShard.part, "job1"}) != nullptr);
   const std::string state = d.first->Ask(HttpMethod::kGet, "/job1").body;
   CHECK((state == Text(JobState::kCancelled) ||
          state == Text(JobState::kCompleted)));
@@ -126,7 +131,7 @@
          Text(JobState::kCompleted)) {
   }
   CHECK_FALSE(second.dispatch().is_scheduling());
-  d.first->duty().Release();
+  d.first->shards().Release();
   CHECK_FALSE(d.first->dispatch().is_scheduling());
   second.RunUntil([&] { return second.dispatch().is_scheduling(); });
   CHECK(second.duty().lease().record()->epoch == Epoch(2));
@@ -139,18 +144,103 @@
   for (const auto& [task, count] : d.workers.starts) CHECK(count == 1);
 }
 
+/// A store with four workers in two racks, of which a shard carries two.
+struct ShardedDeployment {
+  ShardedDeployment() : store(io), workers(io) {
+    store.Put(Config(), "1");
+    for (int i = 0; i < 4; ++i) {
+      const std::string rack = i < 2 ? "rack1" : "rack2";
+      store.Put({"workers", "", rack + "-w" + std::to_string(i)}, "");
+    }
+    for (int i = 0; i < 2; ++i) {
+      hosts.push_back(std::make_unique<TestHost>(io, store, workers,
+                                                 "h" + std::to_string(i),
+                                                 kFirstPort + 20 + 10 * i, 2));
+    }
+    for (auto& host : hosts) {
+      host->RunUntil([&] { return host->shards().is_ready(); });
+    }
+  }
+
+  /// @return whether some host schedules the shard.
+  bool IsScheduled(std::size_t shard) {
+    return std::any_of(hosts.begin(), hosts.end(), [&](const auto& host) {
+      return host->shards().shards()[shard]->dispatch.is_scheduling();
+    });
+  }
+  void AwaitScheduled() {
+    hosts[0]->RunUntil([&] { return IsScheduled(0) && IsScheduled(1); });
+  }
+
+  boost::asio::io_context io{1};
+  FakeStore store;
+  InstantWorkers workers;
+  std::vector<std::unique_ptr<TestHost>> hosts;
+};
+
+// One host that takes all shards would carry the load of the whole deployment.
+TEST_CASE("a large deployment is split, and its shards over the hosts") {
+  ShardedDeployment d;
+  REQUIRE(d.hosts[0]->shards().shards().size() == 2);
+  REQUIRE(d.hosts[1]->shards().shards().size() == 2);
+  d.AwaitScheduled();
+  for (auto& host : d.hosts) {
+    int held = 0;
+    for (const auto& shard : host->shards().shards()) {
+      if (shard->dispatch.is_scheduling()) ++held;
+    }
+    CHECK(held == 1);
+  }
+}
+
+TEST_CASE("each job runs in its shard, and any host answers for it") {
+  ShardedDeployment d;
+  d.AwaitScheduled();
+  for (int i = 0; i < 8; ++i) {
+    const std::string path = "/job" + std::to_string(i);
+    CHECK(d.hosts[0]->Ask(HttpMethod::kPost, path).status == 200);
+    while (d.hosts[1]->Ask(HttpMethod::kGet, path).body !=
+           Text(JobState::kCompleted)) {
+    }
+    const JobId id(path.substr(1));
+    int stored = 0;
+    for (std::uint64_t shard = 0; shard < 2; ++shard) {
+      const ShardScope scope{ShardId(shard)};
+      if (d.store.Find(JobAddress(scope, id)) != nullptr) ++stored;
+    }
+    CHECK(stored == 1);
+  }
+  for (const auto& [task, count] : d.workers.starts) CHECK(count == 1);
+  CHECK(d.hosts[0]->Ask(HttpMethod::kGet, "/").status == 200);
+}
+
+// Two schedulers that both command a worker would give it more than it holds.
+TEST_CASE("workers of a new rack join one shard") {
+  ShardedDeployment d;
+  d.AwaitScheduled();
+  d.store.Put({"workers", "", "rack3-w9"}, "");
+  const auto racks = [&](std::size_t host) {
+    return d.hosts[host]->layout().layout()->racks.size();
+  };
+  d.hosts[0]->RunUntil([&] { return racks(0) == 3 && racks(1) == 3; });
+  const StoredRow* row = d.store.Find({kLayoutTable, "", kLayoutKey});
+  REQUIRE(row != nullptr);
+  CHECK(DecodeLayout(row->value)->racks.size() == 3);
+}
+
 TEST_CASE("a host whose duty row was replaced stores nothing any more") {
   Deployment d;
-  const StoredRow* row = d.store.Find({kDutyTable, kPart, kDutyKey});
+  const StoredRow* row = d.store.Find({kDutyTable, kOnlyShard.part, kDutyKey});
   REQUIRE(row != nullptr);
   DutyRecord other = *Decode<DutyRecord>(row->value);
   other.holder = EntryHostId("z");
   other.process = "process-z";
   other.epoch = other.epoch.Next();
-  d.store.Put({kDutyTable, kPart, kDutyKey}, Encode(other));
+  d.store.Put({kDutyTable, kOnlyShard.part, kDutyKey}, Encode(other));
   d.first->RunUntil([&] { return !d.first->dispatch().is_scheduling(); });
   CHECK(*Decode<DutyRecord>(
-            d.store.Find({kDutyTable, kPart, kDutyKey})->value) == other);
+            d.store.Find({kDutyTable, kOnlyShard.part, kDutyKey})->value) ==
+        other);
 }
 
 TEST_CASE("a newer configuration comes into force, an older one never") {
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -8,12 +8,12 @@
 
 constexpr Duration kPageTimeout = milliseconds(1500);
 
-RowAddress ProgressAddress(const JobId& id) {
-  return {kProgressTable, kPart, id.str()};
+RowAddress ProgressAddress(const ShardScope& scope, const JobId& id) {
+  return {kProgressTable, scope.part, id.str()};
 }
 
-RowAddress EndedAddress(const JobId& id) {
-  return {kEndedTable, kPart, id.str()};
+RowAddress EndedAddress(const ShardScope& scope, const JobId& id) {
+  return {kEndedTable, scope.part, id.str()};
 }
 
 // Decodes rows of one table; rows that can not be read are logged and skipped.
@@ -69,64 +69,71 @@
 
 }  // namespace
 
-RowAddress JobAddress(const JobId& id) { return {kJobTable, kPart, id.str()}; }
+RowAddress JobAddress(const ShardScope& scope, const JobId& id) {
+  return {scope.job_table, scope.part, id.str()};
+}
 
-RowTransaction AcceptTransaction(const JobId& id, std::string record) {
-  return {.conditions = {{JobAddress(id), RowVersion(0)}},
-          .writes = {{JobAddress(id), std::move(record)}},
+RowTransaction AcceptTransaction(const ShardScope& scope, const JobId& id,
+                                 std::string record) {
+  return {.conditions = {{JobAddress(scope, id), RowVersion(0)}},
+          .writes = {{JobAddress(scope, id), std::move(record)}},
           .removals = {}};
 }
 
-RowTransaction BatchTransaction(const RecordBatch& batch) {
+RowTransaction BatchTransaction(const ShardScope& scope,
+                                const RecordBatch& batch) {
   RowTransaction rows;
   for (const JobProgress& progress : batch.progress) {
-    rows.writes.push_back({ProgressAddress(progress.id), Encode(progress)});
+    rows.writes.push_back(
+        {ProgressAddress(scope, progress.id), Encode(progress)});
   }
   for (const JobProgress& ended : batch.ended) {
-    rows.writes.push_back({EndedAddress(ended.id), Encode(ended)});
-    rows.writes.push_back({JobAddress(ended.id), ""});
-    rows.removals.push_back(ProgressAddress(ended.id));
+    rows.writes.push_back({EndedAddress(scope, ended.id), Encode(ended)});
+    rows.writes.push_back({JobAddress(scope, ended.id), ""});
+    rows.removals.push_back(ProgressAddress(scope, ended.id));
   }
   for (const JobId& id : batch.expired) {
-    rows.removals.push_back(JobAddress(id));
-    rows.removals.push_back(EndedAddress(id));
+    rows.removals.push_back(JobAddress(scope, id));
+    rows.removals.push_back(EndedAddress(scope, id));
   }
   if (batch.roster_changed) {
     rows.writes.push_back(
-        {{kDutyTable, kPart, kRosterKey}, Encode(Roster{batch.roster})});
+        {{kDutyTable, scope.part, kRosterKey}, Encode(Roster{batch.roster})});
   }
   return rows;
 }
 
-void LoadState(Context& context, UniqueFunction<Result<StoredState>> done) {
+void LoadState(Context& context, const ShardScope& scope,
+               UniqueFunction<Result<StoredState>> done) {
   auto loading = std::make_shared<Loading>();
   loading->done = std::move(done);
-  LoadRows(context, kJobTable, kPart, kPageTimeout,
+  LoadRows(context, scope.job_table, scope.part, kPageTimeout,
            [loading](const LoadedRows& loaded) {
              loading->state.jobs = DecodeAll<JobRecord>(loaded, loading->log);
              loading->state.version = loaded.version;
              loading->Finish(loaded.outcome);
            });
-  LoadRows(context, kProgressTable, kPart, kPageTimeout,
+  LoadRows(context, kProgressTable, scope.part, kPageTimeout,
            [loading](const LoadedRows& loaded) {
              loading->state.progress =
                  DecodeAll<JobProgress>(loaded, loading->log);
              loading->Finish(loaded.outcome);
            });
-  LoadRows(context, kEndedTable, kPart, kPageTimeout,
+  LoadRows(context, kEndedTable, scope.part, kPageTimeout,
            [loading](const LoadedRows& loaded) {
              loading->state.ended =
                  DecodeAll<JobProgress>(loaded, loading->log);
              loading->Finish(loaded.outcome);
            });
-  LoadRows(context, kDutyTable, kPart, kPageTimeout,
+  LoadRows(context, kDutyTable, scope.part, kPageTimeout,
            [loading](const LoadedRows& loaded) {
              ReadRoster(loaded, *loading);
              loading->Finish(loaded.outcome);
            });
 }
 
-void LoadJobState(Context& context, const JobId& id, Duration timeout,
+void LoadJobState(Context& context, const ShardScope& scope, const JobId& id,
+                  Duration timeout,
                   UniqueFunction<Result<JobStateReply>> done) {
   const auto key_of = [id](const RowPage& page) -> const StoredRow* {
     if (page.rows.empty() || page.rows.front().address.key != id.str()) {
@@ -135,8 +142,8 @@
     return &page.rows.front();
   };
   context.ports.store.read(
-      OnlyRow(JobAddress(id)), timeout,
-      [&context, id, timeout, key_of,
+      OnlyRow(JobAddress(scope, id)), timeout,
+      [&context, scope, id, timeout, key_of,
        done = std::move(done)](const RowPage& page) mutable {
         if (page.outcome != StoreOutcome::kDone) {
           done(Fail(ErrorKind::kStoreUnavailable, "the job can not be read"));
@@ -148,7 +155,7 @@
           return;
         }
         context.ports.store.read(
-            OnlyRow(EndedAddress(id)), timeout,
+            OnlyRow(EndedAddress(scope, id)), timeout,
             [key_of, done = std::move(done)](const RowPage& ended) mutable {
               const StoredRow* end = ended.outcome == StoreOutcome::kDone
                                          ? key_of(ended)
--- a/gypsumfall/scheduler/worker_list_service.cc
+++ b/gypsumfall/scheduler/worker_list_service.cc
@@ -31,25 +31,33 @@
       drop_(context.runtime, [this] { DropMissing(); }) {}
 
 void WorkerListService::Stop(std::function<void()> stopped) {
-  Unfollow();
+  followers_.clear();
+  ++turn_;
   stopped();
 }
 
-void WorkerListService::Follow() {
+void WorkerListService::Follow(WorkerListFollower& follower) {
+  if (!followers_.insert(&follower).second) return;
+  if (followers_.size() > 1) {
+    Replay(follower);
+    return;
+  }
   ++turn_;
-  following_ = true;
   listed_.clear();
   missing_.clear();
   ReadAll();
 }
 
-void WorkerListService::Unfollow() {
-  ++turn_;
-  following_ = false;
+void WorkerListService::Unfollow(WorkerListFollower& follower) {
+  if (followers_.erase(&follower) > 0 && followers_.empty()) ++turn_;
+}
+
+void WorkerListService::Replay(WorkerListFollower& follower) const {
+  for (const auto& [id, entry] : listed_) follower.OnListed(entry);
 }
 
 void WorkerListService::ReadAll() {
-  if (!following_) return;
+  if (followers_.empty()) return;
   LoadRows(context_, context_.ports.directory.worker_table, "", kReadTimeout,
            [this, turn = turn_](const LoadedRows& loaded) {
              if (turn != turn_) return;
@@ -65,21 +73,20 @@
 }
 
 void WorkerListService::AwaitChange() {
-  if (!following_) return;
-  context_.ports.store.changes(context_.ports.directory.worker_table, followed_,
-                               kChangeWait, kChangeWait + kReadTimeout,
-                               [this, turn = turn_,
-                                sent = context_.Now()](const RowPage& page) {
-                                 if (turn != turn_) return;
-                                 if (page.outcome != StoreOutcome::kDone) {
-                                   RetryLater(page.outcome);
-                                   return;
-                                 }
-                                 followed_ = std::max(followed_, page.version);
-                                 for (const StoredRow& row : page.rows)
-                                   Apply(row);
-                                 next_read_.NotAfter(sent + kReadInterval);
-                               });
+  if (followers_.empty()) return;
+  context_.ports.store.changes(
+      context_.ports.directory.worker_table, followed_, kChangeWait,
+      kChangeWait + kReadTimeout,
+      [this, turn = turn_, sent = context_.Now()](const RowPage& page) {
+        if (turn != turn_) return;
+        if (page.outcome != StoreOutcome::kDone) {
+          RetryLater(page.outcome);
+          return;
+        }
+        followed_ = std::max(followed_, page.version);
+        for (const StoredRow& row : page.rows) Apply(row);
+        next_read_.NotAfter(sent + kReadInterval);
+      });
 }
 
 void WorkerListService::RetryLater(StoreOutcome outcome) {
@@ -121,7 +128,7 @@
   }
   missing_.erase(id);
   listed_.insert_or_assign(id, *entry);
-  on_listed(*entry);
+  for (WorkerListFollower* follower : followers_) follower->OnListed(*entry);
 }
 
 void WorkerListService::MissLater(const WorkerId& id) {
@@ -149,13 +156,13 @@
     const WorkerId id = each->first;
     each = missing_.erase(each);
     listed_.erase(id);
-    on_unlisted(id);
+    for (WorkerListFollower* follower : followers_) follower->OnUnlisted(id);
   }
   if (next != Time::max()) drop_.NotAfter(next);
 }
 
 std::string WorkerListService::Dump() const {
-  return (following_ ? "following, listed " : "not following, listed ") +
+  return "followers " + std::to_string(followers_.size()) + ", listed " +
          std::to_string(listed_.size()) + ", missing " +
          std::to_string(missing_.size()) + "\n";
 }
--- a/gypsumfall/settings/internal/scheduler_settings.h
+++ b/gypsumfall/settings/internal/scheduler_settings.h
@@ -36,6 +36,15 @@
   Duration max_worker_lease = seconds(6);
   /// Time that a job is known after it has ended.
   Duration ended_retention = std::chrono::minutes(10);
+  /// Workers renew their entry in the worker list this often.
+  Duration worker_heartbeat = milliseconds(1000);
+};
+
+/// Section [scheduling] of a scheduling host.
+struct SchedulingSettings {
+  /// Workers that one scheduler is to carry; decides the number of shards at
+  /// the first start of a deployment. A worker costs about 1/1000 of a core.
+  std::int64_t workers_per_shard = 128;
 };
 
 /// All settings of one scheduling host process.
@@ -43,6 +52,7 @@
   SchedulerHostSettings host;
   SchedulerPlatformSettings platform;
   SchedulerTimings timings;
+  SchedulingSettings scheduling;
   LimitSettings limits;
   LoggingSettings logging;
 };
--- a/gypsumfall/settings/scheduler_settings.cc
+++ b/gypsumfall/settings/scheduler_settings.cc
@@ -21,6 +21,8 @@
 constexpr Range<Duration> kWorkerLeaseRange{seconds(3), minutes(10)};
 constexpr Range<double> kShareRange{0.001, 1024};
 constexpr Range<Duration> kRetentionRange{minutes(1), hours(24)};
+constexpr Range<Duration> kHeartbeatRange{milliseconds(100), minutes(1)};
+constexpr Range<std::int64_t> kWorkersPerShardRange{1, 100'000};
 
 std::vector<Field> Fields(SchedulerHostSettings& host) {
   return {
@@ -47,7 +49,15 @@
   return {MakeField("max_worker_lease", kOptional, timings.max_worker_lease,
                     Within(ParseDuration, kWorkerLeaseRange)),
           MakeField("ended_retention", kOptional, timings.ended_retention,
-                    Within(ParseDuration, kRetentionRange))};
+                    Within(ParseDuration, kRetentionRange)),
+          MakeField("worker_heartbeat", kOptional, timings.worker_heartbeat,
+                    Within(ParseDuration, kHeartbeatRange))};
+}
+
+std::vector<Field> Fields(SchedulingSettings& scheduling) {
+  return {MakeField("workers_per_shard", kOptional,
+                    scheduling.workers_per_shard,
+                    Within(ParseInteger, kWorkersPerShardRange))};
 }
 
 }  // namespace
@@ -67,8 +77,11 @@
                        }};
   };
   const std::vector<SectionRule> rules = {
-      rule("host", settings.host), rule("platform", settings.platform),
-      rule("timings", settings.timings), rule("limits", settings.limits),
+      rule("host", settings.host),
+      rule("platform", settings.platform),
+      rule("timings", settings.timings),
+      rule("scheduling", settings.scheduling),
+      rule("limits", settings.limits),
       rule("logging", settings.logging)};
   ReadSections(document, rules, faults);
   if (faults.empty()) return settings;
--- /dev/null
+++ b/gypsumfall/shards/shards_test.cc
@@ -0,0 +1,105 @@
+#include "gypsumfall/shards/shards.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <string>
+
+namespace gypsumfall {
+namespace {
+
+constexpr int kRacksPerDataCentre = 11;
+
+std::vector<RackSize> Racks(int data_centres) {
+  std::vector<RackSize> racks;
+  for (int d = 0; d < data_centres; ++d) {
+    for (int r = 0; r < kRacksPerDataCentre; ++r) {
+      const std::string name =
+          "d" + std::to_string(d) + "-r" + std::to_string(r);
+      racks.push_back({RackId(name), DataCentreId("d" + std::to_string(d)),
+                       MilliCores(r % 3 == 0 ? 576'000 : 384'000)});
+    }
+  }
+  return racks;
+}
+
+TEST_CASE("small deployments have one shard, large ones as many as needed") {
+  CHECK(ShardCountFor(0, 128) == 1);
+  CHECK(ShardCountFor(66, 128) == 1);
+  CHECK(ShardCountFor(128, 128) == 1);
+  CHECK(ShardCountFor(129, 128) == 2);
+  CHECK(ShardCountFor(490, 128) == 4);
+  CHECK(ShardCountFor(1'000'000, 128) == kMaxShards);
+}
+
+// A shard with less room than others would keep its jobs waiting while they
+// have room, because jobs are spread by their ids alone.
+TEST_CASE("shards get equal room, and a part of every data centre") {
+  ShardLayout layout{.shard_count = 4, .racks = {}};
+  REQUIRE(AssignRacks(layout, Racks(4)));
+  std::map<ShardId, std::int64_t> room;
+  std::map<ShardId, std::set<std::string>> data_centres;
+  for (const RackAssignment& each : layout.racks) {
+    room[each.shard] += each.cpu.value();
+    data_centres[each.shard].insert(each.rack.str().substr(0, 2));
+  }
+  REQUIRE(room.size() == 4);
+  const auto [least, most] = std::minmax_element(
+      room.begin(), room.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  CHECK(most->second - least->second <= 576'000);
+  for (const auto& [shard, names] : data_centres) CHECK(names.size() == 4);
+}
+
+// Two shards that both command a worker would give it more than it holds.
+TEST_CASE("racks that come later leave the others where they are") {
+  ShardLayout layout{.shard_count = 3, .racks = {}};
+  AssignRacks(layout, Racks(2));
+  const ShardLayout before = layout;
+  CHECK_FALSE(AssignRacks(layout, Racks(2)));
+  REQUIRE(AssignRacks(layout, Racks(3)));
+  REQUIRE(layout.racks.size() == before.racks.size() + kRacksPerDataCentre);
+  for (std::size_t i = 0; i < before.racks.size(); ++i) {
+    CHECK(layout.racks[i].rack == before.racks[i].rack);
+    CHECK(layout.racks[i].shard == before.racks[i].shard);
+  }
+}
+
+TEST_CASE("jobs are spread evenly over the shards") {
+  const ShardLayout layout{.shard_count = 4, .racks = {}};
+  std::map<ShardId, int> jobs;
+  for (int i = 0; i < 4000; ++i) {
+    ++jobs[ShardOf(layout, JobId("job" + std::to_string(i)))];
+  }
+  for (const auto& [shard, count] : jobs) CHECK(count > 800);
+}
+
+TEST_CASE("a worker's shard is that of its rack, or unknown") {
+  ShardLayout layout{.shard_count = 2, .racks = {}};
+  AssignRacks(layout, {{RackId("r1"), DataCentreId("d"), MilliCores(1)}});
+  const ShardMap map(layout);
+  CHECK(map.ShardOf(WorkerId("w1"), RackId("r1")) == ShardId(0));
+  CHECK_FALSE(map.ShardOf(WorkerId("w1"), RackId("r2")));
+  CHECK(map.ShardOf(WorkerId("w1"), RackId()));
+  CHECK(ShardMap({}).ShardOf(WorkerId("w1"), RackId("r2")) == ShardId(0));
+}
+
+TEST_CASE("a layout is read as it was stored, and a bad one is refused") {
+  ShardLayout layout{.shard_count = 2, .racks = {}};
+  AssignRacks(layout, Racks(1));
+  const Result<ShardLayout> read = DecodeLayout(EncodeLayout(layout));
+  REQUIRE(read);
+  CHECK(read->shard_count == 2);
+  REQUIRE(read->racks.size() == layout.racks.size());
+  CHECK(read->racks.back().rack == layout.racks.back().rack);
+  CHECK(read->racks.back().cpu == layout.racks.back().cpu);
+  const std::string bad = GENERATE("", "{}", R"({"shards":0,"racks":[]})",
+                                   R"({"shards":65,"racks":[]})",
+                                   R"({"shards":1,"racks":[
+                                     {"rack":"r","shard":1,"cpu":1}]})");
+  CHECK_FALSE(DecodeLayout(bad));
+}
+
+}  // namespace
+}  // namespace gypsumfall
