Satisfy the linter

The linter on the changed files found a move without effect and a name in the wrong case; it had not been run on them after the last changes.

--- a/gypsumfall/dispatch/worker_table.cc
+++ b/gypsumfall/dispatch/worker_table.cc
@@ -64,7 +64,7 @@
   }
   worker.used += run.need;
   const bool fills = run.fills;
-  worker.runs.insert_or_assign(task, std::move(run));
+  worker.runs.insert_or_assign(task, run);
   if (fills) UpdateFillDemand(worker);
 }
 
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -15,7 +15,7 @@
 
 constexpr int kFirstPort = 29310;
 
-const ShardScope kOnlyShard{ShardId(0)};
+ShardScope OnlyShard() { return ShardScope(ShardId(0)); }
 
 RowAddress Config() { return {"op", "", "config"}; }
 
@@ -42,12 +42,12 @@
 TEST_CASE("a job is stored before it is accepted, runs, and is completed") {
   Deployment d;
   CHECK(d.first->Ask(HttpMethod::kPost, "/job1").status == 200);
-  REQUIRE(d.store.Find(JobAddress(kOnlyShard, JobId("job1"))) != nullptr);
+  REQUIRE(d.store.Find(JobAddress(OnlyShard(), JobId("job1"))) != nullptr);
   while (d.first->Ask(HttpMethod::kGet, "/job1").body !=
          Text(JobState::kCompleted)) {
   }
   // The record stays, emptied, so that the same id is not run again.
-  CHECK(d.store.Find(JobAddress(kOnlyShard, JobId("job1")))->value.empty());
+  CHECK(d.store.Find(JobAddress(OnlyShard(), JobId("job1")))->value.empty());
   CHECK(d.first->Ask(HttpMethod::kPost, "/job1").status == 200);
   CHECK(d.first->Ask(HttpMethod::kGet, "/job1").body ==
         Text(JobState::kCompleted));
@@ -61,7 +61,7 @@
   d.store.Break(Fault::kDown, 1000);
   const CallOutcome refused = d.first->Ask(HttpMethod::kPost, "/job1");
   CHECK(refused.status == 503);
-  CHECK(d.store.Find(JobAddress(kOnlyShard, JobId("job1"))) == nullptr);
+  CHECK(d.store.Find(JobAddress(OnlyShard(), JobId("job1"))) == nullptr);
   d.store.Break(Fault::kNone, 0);
   CHECK(d.first->Ask(HttpMethod::kPost, "/job1").status == 200);
 }
@@ -92,7 +92,7 @@
   JobRecord record{.id = JobId("unheard"), .queue = QueueId("q")};
   record.terms.service = ServiceId("desk");
   record.spec.steps.push_back({.task_count = 1});
-  d.store.Put(JobAddress(kOnlyShard, record.id), Encode(record));
+  d.store.Put(JobAddress(OnlyShard(), record.id), Encode(record));
   CHECK(d.first->Ask(HttpMethod::kGet, "/unheard").status == 200);
   while (d.first->Ask(HttpMethod::kGet, "/unheard").body !=
          Text(JobState::kCompleted)) {
@@ -104,7 +104,7 @@
   Deployment d;
   for (int i = 0; i < 100; ++i) {
     const JobId id("later" + std::to_string(i));
-    d.store.Put(JobAddress(kOnlyShard, id), "");
+    d.store.Put(JobAddress(OnlyShard(), id), "");
   }
   const std::size_t before = d.store.rows_returned;
   CHECK(d.first->Ask(HttpMethod::kGet, "/job1").status == 410);
@@ -116,7 +116,7 @@
   d.store.Put({"workers", "", "w1"}, "");
   CHECK(d.first->Ask(HttpMethod::kPost, "/job1").status == 200);
   CHECK(d.first->Ask(HttpMethod::kDelete, "/job1").status == 200);
-  CHECK(d.store.Find({kEndedTable, kOnlyShard.part, "job1"}) != nullptr);
+  CHECK(d.store.Find({kEndedTable, OnlyShard().part, "job1"}) != nullptr);
   const std::string state = d.first->Ask(HttpMethod::kGet, "/job1").body;
   CHECK((state == Text(JobState::kCancelled) ||
          state == Text(JobState::kCompleted)));
@@ -309,16 +309,16 @@
 
 TEST_CASE("a host whose duty row was replaced stores nothing any more") {
   Deployment d;
-  const StoredRow* row = d.store.Find({kDutyTable, kOnlyShard.part, kDutyKey});
+  const StoredRow* row = d.store.Find({kDutyTable, OnlyShard().part, kDutyKey});
   REQUIRE(row != nullptr);
   DutyRecord other = *Decode<DutyRecord>(row->value);
   other.holder = EntryHostId("z");
   other.process = "process-z";
   other.epoch = other.epoch.Next();
-  d.store.Put({kDutyTable, kOnlyShard.part, kDutyKey}, Encode(other));
+  d.store.Put({kDutyTable, OnlyShard().part, kDutyKey}, Encode(other));
   d.first->RunUntil([&] { return !d.first->dispatch().is_scheduling(); });
   CHECK(*Decode<DutyRecord>(
-            d.store.Find({kDutyTable, kOnlyShard.part, kDutyKey})->value) ==
+            d.store.Find({kDutyTable, OnlyShard().part, kDutyKey})->value) ==
         other);
 }
 
