Store accepted jobs in partitions of their own

Cause: the store carries out the transactions of a partition one after another, 0.36 s each while it is slow. Accepted jobs came at 10 to 17 a second for each shard in the partition of the leader row, so renewals waited behind them or were rejected, and a healthy leader lost its lease while the store was answering.

Change: the jobs of a shard are distributed over eight partitions. The row in the table of ended jobs alone says that a job has ended; its record is emptied and removed afterwards, and the final state goes only when the record is gone.

Tests: no job in the leader's partition, records before final states, a successor that finds an ended job whose record is not emptied. Two tests read the emptied record a moment later and take expired jobs in two calls; they check as much as before.

--- a/gypsumfall/dispatch/dispatch.h
+++ b/gypsumfall/dispatch/dispatch.h
@@ -21,7 +21,7 @@
 ///   dispatcher.OnWorkerListed(entry, now);
 ///   dispatcher.Submit(record, now, wall_now);
 ///   for (Order& order : dispatcher.Decide(now)) Send(order);
-///   RecordBatch batch = dispatcher.TakeRecords(limit, wall_now);
+///   RecordBatch batch = dispatcher.TakeRecords(limit);
 ///   // ... once the rows of the batch are stored:
 ///   dispatcher.OnRecorded(batch);
 /// @endcode
--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -11,14 +11,8 @@
 
 // Events kept until they are taken; further ones are dropped.
 constexpr std::size_t kMaxEvents = 4096;
-// Rows of a batch that one ended job needs: its state, its emptied record and
-// its removed progress.
-constexpr std::size_t kRowsPerEndedJob = 3;
-// Rows of a batch that one expired job needs: its removed record and its
-// removed state.
-constexpr std::size_t kRowsPerExpiredJob = 2;
-// Expired jobs that one batch deletes.
-constexpr std::size_t kMaxExpiredJobs = 20;
+// Rows of a batch that one ended job needs: its state and its removed progress.
+constexpr std::size_t kRowsPerEndedJob = 2;
 
 }  // namespace
 
@@ -170,10 +164,21 @@
 }
 
 bool Dispatcher::HasRecords() const {
-  return !jobs_to_record_.empty() || roster_changed_;
+  return !jobs_to_record_.empty() || !expired_jobs_.empty() || roster_changed_;
 }
 
-RecordBatch Dispatcher::TakeRecords(std::size_t limit, WallTime wall_now) {
+std::vector<JobId> Dispatcher::TakeExpired(std::size_t limit,
+                                           WallTime wall_now) {
+  const auto retention =
+      std::chrono::duration_cast<WallTime>(settings_.ended_retention);
+  return jobs_.TakeExpired(wall_now - retention, limit);
+}
+
+void Dispatcher::OnRecordsRemoved(const std::vector<JobId>& ids) {
+  expired_jobs_.insert(expired_jobs_.end(), ids.begin(), ids.end());
+}
+
+RecordBatch Dispatcher::TakeRecords(std::size_t limit) {
   RecordBatch batch;
   batch.last_record_sequence = stored_record_sequence_;
   std::size_t rows = 0;
@@ -196,11 +201,10 @@
     target.push_back(JobTable::ProgressOf(*job));
     rows += ended ? kRowsPerEndedJob : 1;
   }
-  if (batch.ended.empty() &&
-      rows + kMaxExpiredJobs * kRowsPerExpiredJob <= limit) {
-    const auto retention =
-        std::chrono::duration_cast<WallTime>(settings_.ended_retention);
-    batch.expired = jobs_.TakeExpired(wall_now - retention, kMaxExpiredJobs);
+  while (!expired_jobs_.empty() && rows < limit) {
+    batch.expired.push_back(std::move(expired_jobs_.front()));
+    expired_jobs_.pop_front();
+    ++rows;
   }
   return batch;
 }
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -39,7 +39,7 @@
   std::vector<JobProgress> progress;
   /// Jobs that have reached a final state.
   std::vector<JobProgress> ended;
-  /// Ended jobs whose rows are to be deleted.
+  /// Jobs whose records are removed and whose final states are to be removed.
   std::vector<JobId> expired;
   /// Whether `roster` has changed; only then is it filled.
   bool roster_changed = false;
@@ -136,8 +136,15 @@
   /// @return whether an ended job is not stored yet, for which a caller may
   ///   wait.
   bool HasEndedJobs() const { return unstored_ended_jobs_ > 0; }
+  /// Removes jobs that ended longer than the retention ago, at most `limit`.
+  /// @return the removed jobs. Their records are to be removed from the store,
+  ///   then `OnRecordsRemoved` must be called.
+  std::vector<JobId> TakeExpired(std::size_t limit, WallTime wall_now);
+  /// Handles the removal of the records of expired jobs. The next batches
+  /// remove the final states of the jobs.
+  void OnRecordsRemoved(const std::vector<JobId>& ids);
   /// Takes records to store, at most `limit` rows.
-  RecordBatch TakeRecords(std::size_t limit, WallTime wall_now);
+  RecordBatch TakeRecords(std::size_t limit);
   /// Handles the successful write of a batch.
   /// @return the jobs whose final state has become visible.
   std::vector<JobId> OnRecorded(const RecordBatch& batch);
@@ -325,6 +332,8 @@
   std::uint64_t next_record_sequence_ = 1;
   std::uint64_t stored_record_sequence_ = 0;
   std::deque<JobId> jobs_to_record_;
+  /// Expired jobs whose records are removed.
+  std::deque<JobId> expired_jobs_;
   std::size_t unstored_ended_jobs_ = 0;
   bool roster_changed_ = false;
   std::vector<DispatchEvent> events_;
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -414,7 +414,7 @@
 
   void StoreRecords() {
     if (!dispatcher_->HasRecords()) return;
-    const RecordBatch batch = dispatcher_->TakeRecords(90, WallNow());
+    const RecordBatch batch = dispatcher_->TakeRecords(90);
     for (const JobProgress& job_progress : batch.progress) {
       stored_progress_[job_progress.id] = job_progress;
     }
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -27,6 +27,8 @@
 constexpr Duration kSlicedReadWait = milliseconds(1000);
 constexpr Duration kSlicedReadRetryDelay = milliseconds(200);
 constexpr Duration kSlicedCleanupInterval = seconds(60);
+// Interval at which records of ended and expired jobs are removed.
+constexpr Duration kCleanupInterval = seconds(2);
 // Rows that one transaction removes at most.
 constexpr std::size_t kMaxRemovedRows = 90;
 constexpr Duration kStatusInterval = seconds(1);
@@ -99,6 +101,7 @@
   ReportStatus(context_.Now());
   ReadSlicedJobChanges();
   RemoveExpiredSlicedJobs();
+  CleanUpRecords();
   if (context_.Now() < next_job_scan_) return;
   next_job_scan_ = context_.Now() + kJobScanInterval;
   ScanJobChanges();
@@ -138,7 +141,9 @@
   dispatcher_ = std::make_unique<Dispatcher>(
       settings, elector_.lease().record()->epoch, leader_since_);
   const WallTime wall_now = context_.WallNow();
+  std::vector<JobId> stored_ids;
   for (JobRecord& job : loaded->jobs) {
+    stored_ids.push_back(job.id);
     dispatcher_->RestoreJob(std::move(job), now, wall_now);
   }
   for (JobRecord& job : loaded->sliced_jobs) {
@@ -148,8 +153,14 @@
   for (const JobProgress& stored_progress : loaded->progress) {
     dispatcher_->RestoreProgress(stored_progress);
   }
-  for (const JobProgress& ended_job : loaded->ended)
+  std::set<JobId> ended;
+  for (const JobProgress& ended_job : loaded->ended) {
+    ended.insert(ended_job.id);
     dispatcher_->RestoreEnded(ended_job);
+  }
+  for (const JobId& id : stored_ids) {
+    if (ended.contains(id)) jobs_to_empty_.push_back(id);
+  }
   dispatcher_->RestoreRoster(loaded->roster, now);
   job_scan_version_ = loaded->version;
   sliced_version_ = loaded->sliced_version;
@@ -177,6 +188,7 @@
   worker_list_.Unsubscribe(*this);
   job_scan_pending_ = false;
   sliced_read_pending_ = false;
+  jobs_to_empty_.clear();
   // The hosts that forwarded these cancellations time out and then call the
   // next leader.
   pending_cancels_.clear();
@@ -208,8 +220,7 @@
                        ? dispatcher_->HasRecords()
                        : dispatcher_->HasRecords() && age >= kRecordBatchDelay;
   if (!due && age < kRenewInterval) return;
-  RecordBatch batch =
-      dispatcher_->TakeRecords(kMaxBatchRows, context_.WallNow());
+  RecordBatch batch = dispatcher_->TakeRecords(kMaxBatchRows);
   RowTransaction rows = BatchTransaction(scope_, batch);
   elector_.Store(std::move(rows), [this, generation = generation_, now,
                                    batch = std::move(batch)] {
@@ -221,6 +232,9 @@
 
 void DispatchService::OnStored(const RecordBatch& batch) {
   record_batches_.Add();
+  for (const JobProgress& ended : batch.ended) {
+    jobs_to_empty_.push_back(ended.id);
+  }
   for (const JobId& id : dispatcher_->OnRecorded(batch)) {
     auto [first, last] = pending_cancels_.equal_range(id);
     for (auto cancel = first; cancel != last; ++cancel) cancel->second(true);
@@ -284,6 +298,54 @@
       });
 }
 
+// Empties the records of ended jobs and removes those of expired ones. They are
+// in other partitions than the rows of the leader, and thus not part of its
+// transactions. A record that is not emptied is only larger to load; one that
+// is not removed keeps the final state of its job.
+void DispatchService::CleanUpRecords() {
+  const Time now = context_.Now();
+  if (now < next_cleanup_) return;
+  next_cleanup_ = now + kCleanupInterval;
+  const std::size_t count = std::min(jobs_to_empty_.size(), kMaxRemovedRows);
+  const auto end = jobs_to_empty_.begin() + static_cast<std::ptrdiff_t>(count);
+  for (RowTransaction& rows :
+       EmptyJobsTransactions(scope_, {jobs_to_empty_.begin(), end})) {
+    context_.ports.store.transact(
+        std::move(rows), kJobScanTimeout,
+        [this](const TransactionReply& reply) {
+          if (reply.outcome == StoreOutcome::kDone) return;
+          log_.Info("records of ended jobs are not emptied",
+                    {{"shard", scope_.id},
+                     {"outcome", StoreOutcomeName(reply.outcome)}});
+        });
+  }
+  jobs_to_empty_.erase(jobs_to_empty_.begin(), end);
+  for (RowTransaction& rows : RemoveJobsTransactions(
+           scope_,
+           dispatcher_->TakeExpired(kMaxRemovedRows, context_.WallNow()))) {
+    RemoveRecords(std::move(rows));
+  }
+}
+
+void DispatchService::RemoveRecords(RowTransaction rows) {
+  std::vector<JobId> ids;
+  for (const RowAddress& address : rows.removals) ids.emplace_back(address.key);
+  context_.ports.store.transact(
+      std::move(rows), kJobScanTimeout,
+      [this, ids = std::move(ids),
+       generation = generation_](const TransactionReply& reply) {
+        if (reply.outcome != StoreOutcome::kDone) {
+          log_.Info(
+              "records of expired jobs are not removed; the next leader "
+              "removes them",
+              {{"shard", scope_.id},
+               {"outcome", StoreOutcomeName(reply.outcome)}});
+          return;
+        }
+        if (generation == generation_) dispatcher_->OnRecordsRemoved(ids);
+      });
+}
+
 // Waits for accepted and cancelled sliced jobs. The leaders of all shards read
 // the same table, because each of them runs a slice of each job in it.
 void DispatchService::ReadSlicedJobChanges() {
@@ -402,15 +464,14 @@
         job_scan_pending_ = false;
         if (page.outcome == StoreOutcome::kHistoryGone) {
           job_scan_version_ = page.version;
-          LoadRows(context_, scope_.job_table, scope_.partition,
-                   kJobScanTimeout,
-                   [this, generation, started](const LoadedRows& loaded) {
-                     if (generation != generation_) return;
-                     if (loaded.outcome != StoreOutcome::kDone) return;
-                     job_scan_version_ = loaded.version;
-                     SubmitUnreportedJobs(loaded.rows);
-                     dispatcher_->OnJobsScanned(started);
-                   });
+          LoadJobRows(context_, scope_, kJobScanTimeout,
+                      [this, generation, started](const LoadedRows& loaded) {
+                        if (generation != generation_) return;
+                        if (loaded.outcome != StoreOutcome::kDone) return;
+                        job_scan_version_ = loaded.version;
+                        SubmitUnreportedJobs(loaded.rows);
+                        dispatcher_->OnJobsScanned(started);
+                      });
           return;
         }
         if (page.outcome != StoreOutcome::kDone) return;
--- a/gypsumfall/scheduler/internal/context.h
+++ b/gypsumfall/scheduler/internal/context.h
@@ -41,11 +41,16 @@
 // before the layout's key, so that one read returns both rows.
 inline constexpr const char* kCountingHostKey = "counter";
 
+/// Number of partitions over which the jobs of a shard are distributed. The
+/// store carries out the transactions of a partition one after another.
+inline constexpr std::uint64_t kJobPartitionCount = 8;
+
 /// Location of a shard's rows in the table service.
 struct ShardScope {
   ShardId id;
-  /// Partition of all rows that the shard's scheduler writes. A transaction is
-  /// limited to one partition, and each one is conditional on the leader row.
+  /// Partition of the leader row and of the rows that are stored under a
+  /// condition on it. It holds no jobs: hosts store these without the leader,
+  /// and while the store is slow renewals of the lease would wait behind them.
   std::string partition;
   /// Table of the shard's jobs. Each shard has its own, because changes can
   /// only be read per table.
@@ -57,6 +62,11 @@
                       ? "jobs"
                       : "jobs-" + std::to_string(shard.value())),
         job_table(partition) {}
+
+  /// @param number from 0 to `kJobPartitionCount` - 1.
+  std::string JobPartition(std::uint64_t number) const {
+    return partition + "-accepted-" + std::to_string(number);
+  }
 };
 
 /// Dependencies shared by all services of a scheduling host.
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -70,6 +70,8 @@
   void ReloadSlicedJobs();
   void ApplySlicedJob(const StoredRow& row);
   void RemoveExpiredSlicedJobs();
+  void CleanUpRecords();
+  void RemoveRecords(RowTransaction rows);
   void LogDispatchEvents();
   void ReportStatus(Time now);
 
@@ -94,6 +96,9 @@
   Time next_sliced_read_{};
   bool sliced_read_pending_ = false;
   Time next_sliced_cleanup_{};
+  /// Ended jobs whose records are not emptied yet.
+  std::vector<JobId> jobs_to_empty_;
+  Time next_cleanup_{};
   std::multimap<JobId, UniqueFunction<Result<bool>>> pending_cancels_;
 
   Counter& starts_;
--- a/gypsumfall/scheduler/internal/stored_jobs.h
+++ b/gypsumfall/scheduler/internal/stored_jobs.h
@@ -20,6 +20,23 @@
 ///   again.
 RowAddress JobAddress(const ShardScope& scope, const JobId& id);
 
+/// Reads the rows of all jobs of a shard.
+/// @param done called with the rows and the earliest version of the reads, or
+///   with the outcome of a read that failed.
+void LoadJobRows(Context& context, const ShardScope& scope, Duration timeout,
+                 UniqueFunction<LoadedRows> done);
+
+/// @return transactions that empty the records of ended jobs, one for each
+///   partition. Records are only emptied to make them small: an ended job is
+///   known by its row in the table of ended jobs.
+std::vector<RowTransaction> EmptyJobsTransactions(
+    const ShardScope& scope, const std::vector<JobId>& ids);
+/// @return transactions that remove the records of jobs, one for each
+///   partition. They must be done before the rows of the ended jobs are
+///   removed, because a record without such a row is a job to run.
+std::vector<RowTransaction> RemoveJobsTransactions(
+    const ShardScope& scope, const std::vector<JobId>& ids);
+
 /// @return the transaction that stores an accepted job. It conflicts if the job
 ///   is already stored.
 /// @param record the encoded job.
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -1,5 +1,9 @@
 #include "gypsumfall/scheduler/internal/stored_jobs.h"
 
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <map>
 #include <memory>
 #include <utility>
 
@@ -8,6 +12,11 @@
 
 constexpr Duration kPageTimeout = milliseconds(1500);
 
+std::string JobPartitionOf(const ShardScope& scope, const JobId& id) {
+  return scope.JobPartition(StableHash(id.str()) / kMaxShards %
+                            kJobPartitionCount);
+}
+
 RowAddress ProgressAddress(const ShardScope& scope, const JobId& id) {
   return {kProgressTable, scope.partition, id.str()};
 }
@@ -51,6 +60,15 @@
   return &page.rows.front();
 }
 
+std::vector<RowTransaction> Transactions(
+    std::map<std::string, RowTransaction> by_partition) {
+  std::vector<RowTransaction> transactions;
+  transactions.reserve(by_partition.size());
+  for (auto& [partition, rows] : by_partition)
+    transactions.push_back(std::move(rows));
+  return transactions;
+}
+
 // Waits for the reads of the five tables and combines their results.
 struct StateLoad {
   Logger log{"stored-jobs"};
@@ -86,7 +104,52 @@
 }  // namespace
 
 RowAddress JobAddress(const ShardScope& scope, const JobId& id) {
-  return {scope.job_table, scope.partition, id.str()};
+  return {scope.job_table, JobPartitionOf(scope, id), id.str()};
+}
+
+void LoadJobRows(Context& context, const ShardScope& scope, Duration timeout,
+                 UniqueFunction<LoadedRows> done) {
+  struct Merge {
+    LoadedRows rows;
+    std::uint64_t pending_reads = kJobPartitionCount;
+    UniqueFunction<LoadedRows> done;
+  };
+  auto merge = std::make_shared<Merge>();
+  merge->rows.outcome = StoreOutcome::kDone;
+  merge->rows.version = RowVersion(std::numeric_limits<std::uint64_t>::max());
+  merge->done = std::move(done);
+  for (std::uint64_t i = 0; i < kJobPartitionCount; ++i) {
+    LoadRows(context, scope.job_table, scope.JobPartition(i), timeout,
+             [merge](LoadedRows loaded) {
+               LoadedRows& all = merge->rows;
+               if (loaded.outcome != StoreOutcome::kDone)
+                 all.outcome = loaded.outcome;
+               all.version = std::min(all.version, loaded.version);
+               std::move(loaded.rows.begin(), loaded.rows.end(),
+                         std::back_inserter(all.rows));
+               if (--merge->pending_reads == 0) merge->done(std::move(all));
+             });
+  }
+}
+
+std::vector<RowTransaction> EmptyJobsTransactions(
+    const ShardScope& scope, const std::vector<JobId>& ids) {
+  std::map<std::string, RowTransaction> by_partition;
+  for (const JobId& id : ids) {
+    const RowAddress address = JobAddress(scope, id);
+    by_partition[address.partition].writes.push_back({address, ""});
+  }
+  return Transactions(std::move(by_partition));
+}
+
+std::vector<RowTransaction> RemoveJobsTransactions(
+    const ShardScope& scope, const std::vector<JobId>& ids) {
+  std::map<std::string, RowTransaction> by_partition;
+  for (const JobId& id : ids) {
+    const RowAddress address = JobAddress(scope, id);
+    by_partition[address.partition].removals.push_back(address);
+  }
+  return Transactions(std::move(by_partition));
 }
 
 RowTransaction AcceptTransaction(const ShardScope& scope, const JobId& id,
@@ -127,11 +190,9 @@
   }
   for (const JobProgress& ended : batch.ended) {
     rows.writes.push_back({EndedAddress(scope, ended.id), Encode(ended)});
-    rows.writes.push_back({JobAddress(scope, ended.id), ""});
     rows.removals.push_back(ProgressAddress(scope, ended.id));
   }
   for (const JobId& id : batch.expired) {
-    rows.removals.push_back(JobAddress(scope, id));
     rows.removals.push_back(EndedAddress(scope, id));
   }
   if (batch.roster_changed) {
@@ -145,12 +206,12 @@
                UniqueFunction<Result<StoredState>> done) {
   auto loading = std::make_shared<StateLoad>();
   loading->done = std::move(done);
-  LoadRows(context, scope.job_table, scope.partition, kPageTimeout,
-           [loading](const LoadedRows& loaded) {
-             loading->state.jobs = DecodeAll<JobRecord>(loaded, loading->log);
-             loading->state.version = loaded.version;
-             loading->Finish(loaded.outcome);
-           });
+  LoadJobRows(
+      context, scope, kPageTimeout, [loading](const LoadedRows& loaded) {
+        loading->state.jobs = DecodeAll<JobRecord>(loaded, loading->log);
+        loading->state.version = loaded.version;
+        loading->Finish(loaded.outcome);
+      });
   LoadRows(context, kProgressTable, scope.partition, kPageTimeout,
            [loading](const LoadedRows& loaded) {
              loading->state.progress =
@@ -181,36 +242,34 @@
                   Duration timeout,
                   UniqueFunction<Result<JobStateReply>> done) {
   context.ports.store.read(
-      SingleRow(JobAddress(scope, id)), timeout,
+      SingleRow(EndedAddress(scope, id)), timeout,
       [&context, scope, id, timeout,
-       done = std::move(done)](const RowPage& page) mutable {
-        if (page.outcome != StoreOutcome::kDone) {
+       done = std::move(done)](const RowPage& ended) mutable {
+        if (ended.outcome != StoreOutcome::kDone) {
           done(Fail(ErrorKind::kStoreUnavailable, "cannot read the job"));
           return;
         }
-        const StoredRow* row = RowOf(page, id);
-        if (row == nullptr || !row->value.empty()) {
-          done(JobStateReply{row != nullptr, JobState::kQueued});
+        if (const StoredRow* row = RowOf(ended, id); row != nullptr) {
+          const Result<JobProgress> progress = Decode<JobProgress>(row->value);
+          if (progress) {
+            done(JobStateReply{true, progress->state});
+          } else {
+            done(Fail(ErrorKind::kInternal, progress.error().detail));
+          }
           return;
         }
         context.ports.store.read(
-            SingleRow(EndedAddress(scope, id)), timeout,
-            [id, done = std::move(done)](const RowPage& ended) mutable {
-              const StoredRow* ended_row = ended.outcome == StoreOutcome::kDone
-                                               ? RowOf(ended, id)
-                                               : nullptr;
-              if (ended_row == nullptr) {
+            SingleRow(JobAddress(scope, id)), timeout,
+            [id, done = std::move(done)](const RowPage& page) mutable {
+              const StoredRow* row = RowOf(page, id);
+              if (page.outcome != StoreOutcome::kDone) {
+                done(Fail(ErrorKind::kStoreUnavailable, "cannot read the job"));
+              } else if (row != nullptr && row->value.empty()) {
                 done(Fail(ErrorKind::kStoreUnavailable,
-                          "cannot read the final state of the job"));
-                return;
-              }
-              Result<JobProgress> progress =
-                  Decode<JobProgress>(ended_row->value);
-              if (!progress) {
-                done(Fail(ErrorKind::kInternal, progress.error().detail));
-                return;
+                          "the job has ended since its state was read"));
+              } else {
+                done(JobStateReply{row != nullptr, JobState::kQueued});
               }
-              done(JobStateReply{true, progress->state});
             });
       });
 }
