Wait longer for jobs to be stored while the store is slow

An attempt was given up after 0.7 s, which is what the slow store needs without any queue, and sent again behind the first one.

Change: the time for which an attempt is waited for is three times that of the latest attempt, between 0.7 and 1.5 s; a shard's jobs use 16 partitions instead of 8.

--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -14,7 +14,6 @@
 constexpr Duration kDefaultCallerTimeout = seconds(3);
 // Part of the caller's timeout that is reserved for sending the answer.
 constexpr Duration kAnswerMargin = milliseconds(150);
-constexpr Duration kStoreTimeout = milliseconds(700);
 constexpr Duration kPeerTimeout = milliseconds(600);
 constexpr Duration kReadTimeout = milliseconds(500);
 constexpr Duration kRetryDelay = milliseconds(60);
@@ -164,8 +163,9 @@
                                     exchange->record_text)
           : AcceptTransaction(exchange->shard->scope, exchange->request.job,
                               exchange->record_text),
-      std::min(time_left, kStoreTimeout),
-      [this, exchange](const TransactionReply& reply) {
+      std::min(time_left, AcceptTimeout(latest_store_time_)),
+      [this, exchange, sent = context_.Now()](const TransactionReply& reply) {
+        latest_store_time_ = context_.Now() - sent;
         OnJobStored(exchange, reply);
       });
 }
--- a/gypsumfall/scheduler/internal/caller_service.h
+++ b/gypsumfall/scheduler/internal/caller_service.h
@@ -61,6 +61,9 @@
   PeerService* peers_ = nullptr;
   std::unique_ptr<Server> server_;
   LatencyHistogram& answer_latency_;
+  /// Time that the latest attempt to store a job took, until its answer or its
+  /// timeout.
+  Duration latest_store_time_{0};
   /// Start of the current outage, and time of its latest refused request.
   Time outage_since_{};
   Time last_refusal_{};
--- a/gypsumfall/scheduler/internal/context.h
+++ b/gypsumfall/scheduler/internal/context.h
@@ -43,7 +43,7 @@
 
 /// Number of partitions over which the jobs of a shard are distributed. The
 /// store carries out the transactions of a partition one after another.
-inline constexpr std::uint64_t kJobPartitionCount = 8;
+inline constexpr std::uint64_t kJobPartitionCount = 16;
 
 /// Location of a shard's rows in the table service.
 struct ShardScope {
--- a/gypsumfall/scheduler/internal/stored_jobs.h
+++ b/gypsumfall/scheduler/internal/stored_jobs.h
@@ -43,6 +43,14 @@
 RowTransaction AcceptTransaction(const ShardScope& scope, const JobId& id,
                                  std::string record);
 
+/// @param latest time that the latest attempt to store a job took, until its
+///   answer or its timeout.
+/// @return the time for which the next attempt is waited for. It grows while
+/// the
+///   store is slow, because attempts that are repeated too early wait behind
+///   each other there.
+Duration AcceptTimeout(Duration latest);
+
 /// @return the transaction that stores an accepted sliced job. It conflicts if
 ///   the job is already stored or was cancelled.
 /// @param record the encoded job.
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -505,6 +505,16 @@
   }
 }
 
+// Guards against attempts that are repeated while the first one waits in a
+// store that needs a second: they doubled the load, and few of them succeeded.
+TEST_CASE("a job is waited for longer in a slow store, within bounds") {
+  CHECK(AcceptTimeout(Duration{0}) == milliseconds(700));
+  CHECK(AcceptTimeout(milliseconds(5)) == milliseconds(700));
+  // The store has not answered the latest attempt.
+  CHECK(AcceptTimeout(milliseconds(700)) == milliseconds(1500));
+  CHECK(AcceptTimeout(seconds(60)) == milliseconds(1500));
+}
+
 // A record may be emptied after the leader that ended the job has failed.
 TEST_CASE("a successor does not run an ended job whose record is not emptied") {
   boost::asio::io_context io;
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr Duration kPageTimeout = milliseconds(1500);
+constexpr Duration kMinAcceptTimeout = milliseconds(700);
+constexpr Duration kMaxAcceptTimeout = milliseconds(1500);
+constexpr int kAcceptTimeoutFactor = 3;
 
 std::string JobPartitionOf(const ShardScope& scope, const JobId& id) {
   return scope.JobPartition(StableHash(id.str()) / kMaxShards %
@@ -159,6 +162,11 @@
           .removals = {}};
 }
 
+Duration AcceptTimeout(Duration latest) {
+  return std::clamp<Duration>(kAcceptTimeoutFactor * latest, kMinAcceptTimeout,
+                              kMaxAcceptTimeout);
+}
+
 RowTransaction AcceptSlicedTransaction(const JobId& id, std::string record) {
   return {.conditions = {{SlicedJobAddress(id), RowVersion(0)},
                          {CancelledSlicedJobAddress(id), RowVersion(0)}},
