Carry 900 workers for each processor of a scheduling host

The number of workers for a shard follows from what a busy worker costs the leader: 1.1 thousandths of a core when it was set, and 0.6 now, since placement and learning are cheaper and workers of a large deployment start fewer runs each. The rule, a little over half of a core, is unchanged. 890 and 490 workers are two shards, 350 and 66 one.

--- a/gypsumfall/settings/internal/scheduler_settings.h
+++ b/gypsumfall/settings/internal/scheduler_settings.h
@@ -44,9 +44,9 @@
 struct SchedulingSettings {
   /// Workers that one core of a scheduler host serves. Multiplied by the
   /// `processor_share` of the host that creates the shard layout, normally the
-  /// largest host, it determines the number of shards. A busy worker costs 1.1
-  /// millicores, so 500 workers use a little over half of a core.
-  std::int64_t workers_per_processor = 500;
+  /// largest host, it determines the number of shards. A busy worker costs 0.6
+  /// millicores, so 900 workers use a little over half of a core.
+  std::int64_t workers_per_processor = 900;
 };
 
 /// All settings of one scheduling host process.
