Run overdue jobs last, and learn how long the jobs of a queue take

Cause: steps that can still be on time come first, judged by declared run times; the others followed by age. Two load patterns lose by that.

Change: the ratio of actual to declared run times of a queue is learned from whole runs and widens the time that a job is taken to need. Late jobs beyond three times their objective run after all others; none is dropped.

--- a/gypsumfall/dispatch/dispatcher_completions.cc
+++ b/gypsumfall/dispatch/dispatcher_completions.cc
@@ -8,6 +8,17 @@
 #include "gypsumfall/dispatch/internal/worker_health.h"
 
 namespace gypsumfall {
+namespace {
+
+// Bounds of the ratio of actual to declared run time that one run reports, and
+// the part of a deviation that it corrects. Declared times of single jobs are
+// far off; the average over some tens of runs is what a queue can expect.
+constexpr double kMinRunTimeRatio = 0.25;
+constexpr double kMaxRunTimeRatio = 8;
+constexpr double kRunTimeLearningRate = 0.02;
+
+}  // namespace
+
 using dispatch_internal::CountFailure;
 using dispatch_internal::CountSuccess;
 using dispatch_internal::PendingCompletion;
@@ -108,8 +119,12 @@
   AddRoutineEvent("run ended", end.task, end.run, worker.entry.id,
                   std::string(RunEndName(end.end)) +
                       (was_bound ? "" : ", run not bound to this worker"));
-  if (was_bound) UnbindRun(worker, end.task);
   Job* job = jobs_.Find(end.task.job);
+  if (was_bound) {
+    if (job != nullptr && end.end == RunOutcome::kDone)
+      LearnRunTime(*job, bound->second, now);
+    UnbindRun(worker, end.task);
+  }
   Task* task = jobs_.FindTask(end.task);
   if (job == nullptr || task == nullptr) return 0;
   // The final state may not be stored yet. A successor that knows neither it
@@ -156,6 +171,17 @@
   return job->record_sequence;
 }
 
+void Dispatcher::LearnRunTime(const Job& job, const Run& run, Time now) {
+  if (!run.does_whole_task || run.declared <= Duration{0}) return;
+  const double ratio =
+      std::clamp(static_cast<double>((now - run.started_at).count()) /
+                     static_cast<double>(run.declared.count()),
+                 kMinRunTimeRatio, kMaxRunTimeRatio);
+  double& learned =
+      run_time_ratios_.try_emplace(job.record.queue, 1.0).first->second;
+  learned += kRunTimeLearningRate * (ratio - learned);
+}
+
 void Dispatcher::MarkTaskDone(Job& job, const TaskName& name, Task& task) {
   task.phase = TaskPhase::kDone;
   ++StepOf(job, name).done;
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -35,6 +35,9 @@
 // counts as late if its declared critical path times this margin does not fit
 // in the remaining time: started now, it would most often miss its objective.
 constexpr double kDeclaredTimeMargin = 1.2;
+// A caller whose job takes longer than this multiple of its objective no longer
+// waits for it.
+constexpr int kOverdueFactor = 3;
 // Time that a step waits before the reason is logged, and the interval at which
 // it is logged again.
 constexpr Duration kWaitEventDelay = seconds(2);
@@ -239,14 +242,20 @@
 }
 
 Dispatcher::Urgency Dispatcher::UrgencyOf(const Job& job, const StepRef& ref,
-                                          Time objective, Time now) {
+                                          Time objective, Time now) const {
   const auto step = static_cast<std::size_t>(ref.step);
   const Duration remaining = job.remaining_critical_paths[step];
+  const auto ratio = run_time_ratios_.find(job.record.queue);
+  const double margin =
+      kDeclaredTimeMargin *
+      (ratio == run_time_ratios_.end() ? 1.0 : std::max(1.0, ratio->second));
   const Duration needed(static_cast<std::int64_t>(
-      kDeclaredTimeMargin * static_cast<double>(remaining.count())));
+      margin * static_cast<double>(remaining.count())));
   if (now + needed <= objective) return Urgency::kOnTime;
-  return job.record.spec.steps[step].long_running ? Urgency::kLateLongRunning
-                                                  : Urgency::kLate;
+  if (job.record.spec.steps[step].long_running)
+    return Urgency::kLateLongRunning;
+  const Duration extra = (kOverdueFactor - 1) * job.record.terms.objective;
+  return now + needed <= objective + extra ? Urgency::kLate : Urgency::kOverdue;
 }
 
 // Ranks steps by priority first. Within a priority, steps that can meet their
@@ -438,6 +447,7 @@
   BindRun(worker, job, name, task,
           Run{.number = number,
               .phase = RunPhase::kStartSent,
+              .does_whole_task = task.checkpoint.empty(),
               .started_at = now,
               .phase_changed_at = now,
               .progress_at = now});
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "gypsumfall/base/base.h"
@@ -260,13 +261,18 @@
     /// Long-running and waiting for longer than its objective. Ranks before
     /// other late steps, because each moment of waiting is lost service time.
     kLateLongRunning,
-    /// Can no longer meet its objective.
+    /// Can no longer meet its objective, but its caller may still wait.
     kLate,
+    /// So late that its caller no longer waits. Such jobs run when nothing else
+    /// needs the resources.
+    kOverdue,
   };
 
   static Time ObjectiveOf(const Job& job, const StepRef& ref);
-  static Urgency UrgencyOf(const Job& job, const StepRef& ref, Time objective,
-                           Time now);
+  Urgency UrgencyOf(const Job& job, const StepRef& ref, Time objective,
+                    Time now) const;
+  /// Updates the ratio of actual to declared run times of a queue.
+  void LearnRunTime(const Job& job, const Run& run, Time now);
   std::vector<StepRef> RankSteps(Time now);
   void AddStartOrders(Time now, std::vector<Order>& orders);
   void AddWaitEvent(const StepRef& ref, Time now, std::string_view reason);
@@ -319,6 +325,8 @@
   dispatch_internal::JobTable jobs_;
   dispatch_internal::WorkerTable workers_;
   dispatch_internal::InterferenceModel interference_;
+  /// Ratio of actual to declared run times, smoothed.
+  std::unordered_map<QueueId, double> run_time_ratios_;
   std::set<StepRef> ready_steps_;
   Time next_best_effort_round_{};
   Time next_sweep_{};
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -40,6 +40,8 @@
   MilliCores best_effort_cpu;
   bool best_effort = false;
   bool long_running = false;
+  /// Started by this epoch, and without a checkpoint.
+  bool does_whole_task = false;
   Duration tail_target{0};
   /// Index of the image in the interference model.
   std::size_t image = 0;
