--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -64,7 +64,7 @@
 }
 
 std::vector<RowTransaction> Transactions(
-    std::map<std::string, RowTransaction> by_partition) {
+    std::map<std::string, RowTransaction>&& by_partition) {
   std::vector<RowTransaction> transactions;
   transactions.reserve(by_partition.size());
   for (auto& [partition, rows] : by_partition)
