Keep an expired job known until its record is removed

Cause, found in reading the diff: the leader forgot an expired job before it had asked the store to remove its record. If the record could be neither emptied nor removed and the store then dropped its history, the leader would have read the record as that of a new job and run the job a second time.

Change: an expired job stays known, and is asked for once, until the removal of its record is acknowledged; then its final state is removed.

Test: an expired job stays known until its record is removed (red before).

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -175,6 +175,7 @@
 }
 
 void Dispatcher::OnRecordsRemoved(const std::vector<JobId>& ids) {
+  for (const JobId& id : ids) jobs_.Remove(id);
   expired_jobs_.insert(expired_jobs_.end(), ids.begin(), ids.end());
 }
 
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -137,12 +137,13 @@
   /// @return whether an ended job is not stored yet, for which a caller may
   ///   wait.
   bool HasEndedJobs() const { return unstored_ended_jobs_ > 0; }
-  /// Removes jobs that ended longer than the retention ago, at most `limit`.
-  /// @return the removed jobs. Their records are to be removed from the store,
-  ///   then `OnRecordsRemoved` must be called.
+  /// Expires jobs that ended longer than the retention ago, at most `limit`.
+  /// @return the expired jobs. Their records are to be removed from the store,
+  ///   then `OnRecordsRemoved` must be called. They stay known until then,
+  ///   because a stored record of an unknown job is a job to run.
   std::vector<JobId> TakeExpired(std::size_t limit, WallTime wall_now);
-  /// Handles the removal of the records of expired jobs. The next batches
-  /// remove the final states of the jobs.
+  /// Handles the removal of the records of expired jobs, and forgets the jobs.
+  /// The next batches remove their final states.
   void OnRecordsRemoved(const std::vector<JobId>& ids);
   /// Takes records to store, at most `limit` rows.
   RecordBatch TakeRecords(std::size_t limit);
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -88,6 +88,8 @@
   JobState state = JobState::kQueued;
   JobState visible_state = JobState::kQueued;
   WallTime ended_at{0};
+  /// The removal of its record has been requested.
+  bool expired = false;
   /// Queued for the next batch of records.
   bool record_pending = false;
   /// Sequence number of the latest record of the job. The record is stored once
@@ -124,11 +126,14 @@
   ///   started.
   std::uint64_t CountWaiting(const QueueId& queue) const;
 
-  /// Removes at most `limit` jobs that ended before `ended_before`.
-  /// @return the ids of the removed jobs that have rows in the shard. Slices
-  ///   have none.
+  /// Expires at most `limit` jobs that ended before `ended_before`. Slices,
+  /// which have no rows in the shard, are removed at once.
+  /// @return the ids of the other expired jobs. They stay known until `Remove`
+  ///   is called for them.
   std::vector<JobId> TakeExpired(WallTime ended_before, std::size_t limit);
 
+  void Remove(const JobId& id) { jobs_.erase(id); }
+
   auto begin() { return jobs_.begin(); }
   auto end() { return jobs_.end(); }
   auto begin() const { return jobs_.begin(); }
--- a/gypsumfall/dispatch/job_table.cc
+++ b/gypsumfall/dispatch/job_table.cc
@@ -166,14 +166,20 @@
   std::vector<JobId> expired;
   for (const auto& [id, job] : jobs_) {
     if (expired.size() >= limit) break;
-    if (IsFinal(job->visible_state) && job->ended_at < ended_before) {
+    if (IsFinal(job->visible_state) && !job->expired &&
+        job->ended_at < ended_before) {
       expired.push_back(id);
     }
   }
   std::vector<JobId> stored;
   for (const JobId& id : expired) {
-    if (jobs_.at(id)->slice.IsWhole()) stored.push_back(id);
-    jobs_.erase(id);
+    Job& job = *jobs_.at(id);
+    if (job.slice.IsWhole()) {
+      job.expired = true;
+      stored.push_back(id);
+    } else {
+      jobs_.erase(id);
+    }
   }
   return stored;
 }
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -492,6 +492,24 @@
   }
 }
 
+// Guards against a job that runs again: its record could be neither emptied nor
+// removed, and the leader reads all records after the store dropped its
+// history.
+TEST_CASE("an expired job stays known until its record is removed") {
+  const WallTime wall_now{1'700'000'000'000};
+  const JobId id("old");
+  Dispatcher dispatcher({}, Epoch(1), Time(seconds(1000)));
+  dispatcher.RestoreEnded({.id = id,
+                           .state = JobState::kCompleted,
+                           .ended_at = wall_now - WallTime(3'600'000)});
+  CHECK(dispatcher.TakeExpired(90, wall_now) == std::vector<JobId>{id});
+  CHECK(dispatcher.StateOf(id).state == JobState::kCompleted);
+  // The removal is requested once; the next leader repeats it if it failed.
+  CHECK(dispatcher.TakeExpired(90, wall_now).empty());
+  dispatcher.OnRecordsRemoved({id});
+  CHECK_FALSE(dispatcher.StateOf(id).known);
+}
+
 // Guards against renewals of the leader lease that wait behind accepted jobs in
 // a slow store, which carries out the transactions of a partition one after
 // another: all leaders lost their leases.
