Show waiting long-running tasks that no worker of the shard can hold

Adds the gauges shard_unplaceable_long_running_tasks and shard_largest_waiting_need_millicores and the same fields to the status line, and makes the end of a long-running run a line that a busy second does not drop.

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -16,6 +16,7 @@
 
 }  // namespace
 
+using dispatch_internal::ChooseWorkerToReserve;
 using dispatch_internal::JobTable;
 using dispatch_internal::kLeaseSlack;
 using dispatch_internal::kMinWorkerClockRate;
@@ -280,7 +281,7 @@
   return std::exchange(events_, {});
 }
 
-ShardStatus Dispatcher::Status(Time now) const {
+ShardStatus Dispatcher::Status(Time now) {
   ShardStatus status;
   for (const auto& [id, worker] : workers_) {
     if (dispatch_internal::AcceptsWork(worker, now)) {
@@ -297,24 +298,38 @@
     }
   }
   status.waiting_steps = ready_steps_.size();
-  for (const StepRef& ref : ready_steps_) {
-    const Job* job = jobs_.Find(ref.job);
-    if (job == nullptr || IsFinal(job->state)) continue;
-    if (!job->record.spec.steps[static_cast<std::size_t>(ref.step)]
-             .long_running) {
-      continue;
-    }
-    const Step& step =
-        job->occurrences[static_cast<std::size_t>(ref.occurrence)]
-            .steps[static_cast<std::size_t>(ref.step)];
-    for (const Task& task : step.tasks) {
-      if (task.phase != TaskPhase::kReady) continue;
-      ++status.waiting_long_running;
-      status.longest_long_running_wait =
-          std::max(status.longest_long_running_wait, now - task.ready_since);
+  for (const StepRef& ref : ready_steps_) AddWaitsTo(status, ref, now);
+  return status;
+}
+
+// Adds the waiting tasks of a long-running step to the status of the shard.
+void Dispatcher::AddWaitsTo(ShardStatus& status, const StepRef& ref, Time now) {
+  Job* job = jobs_.Find(ref.job);
+  if (job == nullptr || IsFinal(job->state)) return;
+  TaskName name{ref.job, ref.occurrence, ref.step, 0};
+  const StepSpec& spec = job->spec_of(name);
+  if (!spec.long_running) return;
+  const Step& step = StepOf(*job, name);
+  int waiting = 0;
+  bool reservable = false;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const Task& task = step.tasks[i];
+    if (task.phase != TaskPhase::kReady) continue;
+    name.index = static_cast<int>(i);
+    // All tasks of the step need the same, so one search is enough.
+    if (++waiting == 1) {
+      const PlacementRequest request = RequestFor(*job, name, step);
+      reservable = ChooseWorkerToReserve(workers_, request, now) != nullptr;
     }
+    if (!reservable && task.reserved_on.empty())
+      ++status.unplaceable_long_running;
+    status.longest_long_running_wait =
+        std::max(status.longest_long_running_wait, now - task.ready_since);
   }
-  return status;
+  if (waiting == 0) return;
+  status.waiting_long_running += waiting;
+  status.largest_waiting_need =
+      std::max(status.largest_waiting_need, spec.need.cpu);
 }
 
 std::string Dispatcher::Dump(Time now) const {
--- a/gypsumfall/dispatch/dispatcher_completions.cc
+++ b/gypsumfall/dispatch/dispatcher_completions.cc
@@ -116,9 +116,14 @@
   const auto bound = worker.runs.find(end.task);
   const bool was_bound =
       bound != worker.runs.end() && bound->second.number == end.run;
-  AddRoutineEvent("run ended", end.task, end.run, worker.entry.id,
-                  std::string(RunEndName(end.end)) +
-                      (was_bound ? "" : ", run not bound to this worker"));
+  // Few long-running runs end, and each of them leaves its task without a run.
+  StoreEvent({.message = "run ended",
+              .task = end.task,
+              .run = end.run,
+              .worker = worker.entry.id,
+              .reason = std::string(RunEndName(end.end)) +
+                        (was_bound ? "" : ", run not bound to this worker"),
+              .routine = !(was_bound && bound->second.long_running)});
   Job* job = jobs_.Find(end.task.job);
   if (was_bound) {
     if (job != nullptr && end.end == RunOutcome::kDone)
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -80,6 +80,11 @@
   int waiting_long_running = 0;
   /// Longest current wait of such a task.
   Duration longest_long_running_wait{0};
+  /// Most processors that one of these tasks needs.
+  MilliCores largest_waiting_need;
+  /// Those of these tasks for which no worker has enough resources beside its
+  /// long-running runs, so that the end of other work does not help them.
+  int unplaceable_long_running = 0;
 };
 
 /// Schedules all jobs of one service group on all its workers.
@@ -176,7 +181,7 @@
   /// @return the events since the last call.
   std::vector<DispatchEvent> TakeEvents();
   /// @return the load of the shard and the waits of its long-running tasks.
-  ShardStatus Status(Time now) const;
+  ShardStatus Status(Time now);
   /// @return the whole state as readable text.
   std::string Dump(Time now) const;
 
@@ -304,6 +309,7 @@
   void ReserveForStarvingTasks(const StepRef& ref, Time now);
   bool HoldsWorkerFor(const TaskName& name, Time now);
   bool HoldsWorkerForAny(const StepRef& ref, Time now);
+  void AddWaitsTo(ShardStatus& status, const StepRef& ref, Time now);
   /// @return what the task requires of its worker.
   PlacementRequest RequestFor(const Job& job, const TaskName& name,
                               const Step& step);
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -63,7 +63,11 @@
       waiting_long_running_(context.metrics.AddGauge(
           "shard_waiting_long_running_tasks", ShardLabels(scope))),
       longest_long_running_wait_(context.metrics.AddGauge(
-          "shard_longest_long_running_wait_seconds", ShardLabels(scope))) {
+          "shard_longest_long_running_wait_seconds", ShardLabels(scope))),
+      unplaceable_long_running_(context.metrics.AddGauge(
+          "shard_unplaceable_long_running_tasks", ShardLabels(scope))),
+      largest_waiting_need_(context.metrics.AddGauge(
+          "shard_largest_waiting_need_millicores", ShardLabels(scope))) {
   elector_.on_elected = [this] { StartScheduling(); };
   elector_.on_lost = [this] { StopScheduling(); };
 }
@@ -363,6 +367,9 @@
   draining_workers_.Set(status.draining_workers);
   waiting_long_running_.Set(status.waiting_long_running);
   longest_long_running_wait_.Set(wait.count());
+  unplaceable_long_running_.Set(status.unplaceable_long_running);
+  largest_waiting_need_.Set(
+      static_cast<double>(status.largest_waiting_need.value()));
   log_.Info("shard status",
             {{"shard", scope_.id},
              {"epoch", dispatcher_->epoch()},
@@ -373,6 +380,8 @@
              {"long_running_on_draining", status.long_running_on_draining},
              {"waiting_steps", status.waiting_steps},
              {"waiting_long_running", status.waiting_long_running},
+             {"unplaceable_long_running", status.unplaceable_long_running},
+             {"largest_waiting_need", status.largest_waiting_need},
              {"longest_long_running_wait_ms",
               status.longest_long_running_wait / milliseconds(1)}});
 }
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -113,6 +113,8 @@
   Gauge& draining_workers_;
   Gauge& waiting_long_running_;
   Gauge& longest_long_running_wait_;
+  Gauge& unplaceable_long_running_;
+  Gauge& largest_waiting_need_;
 };
 
 }  // namespace gypsumfall::scheduler_internal
