--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -365,6 +365,28 @@
   CHECK(d.workers.running() < 2);
 }
 
+// Guards against a long-running task that waits in a full shard although
+// another shard has capacity.
+TEST_CASE("a task that its shard cannot run is run by another shard",
+          "[!mayfail]") {
+  ShardedDeployment d;
+  d.AwaitScheduled();
+  // Each worker has capacity for two of these tasks.
+  for (const char* path : {"/long-a", "/long-b", "/long-c", "/long-d"}) {
+    CHECK(d.hosts[0]->SendRequest(HttpMethod::kPost, path).status == 200);
+  }
+  d.hosts[0]->RunUntil([&] { return d.workers.running() == 8; });
+  d.store.Put({"workers", "", "rack1-w8"}, "");
+  CHECK(d.hosts[0]->SendRequest(HttpMethod::kPost, "/long-e").status == 200);
+  const auto deadline = std::chrono::steady_clock::now() + seconds(9);
+  d.hosts[0]->RunUntil([&] {
+    return d.workers.running() == 10 ||
+           std::chrono::steady_clock::now() > deadline;
+  });
+  CHECK(d.workers.running() == 10);
+  for (const auto& [task, starts] : d.workers.starts) CHECK(starts == 1);
+}
+
 // If two schedulers sent orders to one worker, they would exceed its capacity.
 TEST_CASE("workers of a new rack are assigned to one shard") {
   ShardedDeployment d;
