Restart adopted long-running tasks without waiting for all leases

Cause: a new leader starts no task of an earlier epoch before each worker of the roster has reported or its lease has expired, 6.3 s after its election. The rule held for each step, so it also held back tasks whose only run this leader had adopted.

Evidence: in "a successor restarts an adopted task beside unreachable workers" one other worker has crashed or is partitioned at the takeover. The adopted task fails 0.5 s later and did not run for 5.79 s in all six variants.

Change: a long-running task of which this epoch has bound a run may start again at once. The check is made for each task, in one function that placement, transfers and the moves off draining workers share. The old rule stays for gangs, for tasks of finite length, and for a leader whose predecessor may still send orders (predecessor slack).

Why no task runs twice. Let A be the worker whose run r1 was adopted, and B a worker that has not reported. Without slack each earlier leader stopped sending before this election, so a run on B was ordered before it: - An order executed late: B executes it only if it was sent. The leader that sent r1 did so when no other run could exist, by the same rules. An order that was sent before r1 and given up had its stop accepted by B, which then refuses it, or its lease had expired. - A predecessor that believed r1 lost would have started a later run on B. It does so after A has reported the end of r1 or no longer lists it, or after the lease that it gave A has expired; only this epoch extends it, and not before the election. In each case A does not list r1 afterwards. With slack this does not hold: a predecessor that is cut off from A may count the lease as expired although this epoch has extended it, and start the task on B. Therefore the old rule stays then. - A worker whose incarnation changed: a restarted A has no run r1 to report. If it restarts after the adoption, r1 is gone with its process. - This epoch's own runs: bound one at a time, and unbound as always. If A itself becomes unreachable, its lease has to expire first, as before. - Gangs: another member may run on B unseen, and the gang starts as a whole. Old rule. - Tasks of finite length: B may hold the unreported successful end of an earlier run, so that the task would be done twice. Old rule. - Steps with duplicates allowed: the dispatcher does not read that field, so they follow the same rules. - An end of a run that was not adopted proves nothing, because a predecessor may have read it and started the next run.

What remains: (a) a new incarnation of B that executes a start order of the old incarnation, after the old one had accepted the stop for it. It may do so beside a bound run at any time, with or without a takeover. (b) Two elections within 9.3 s, the first with slack: the first predecessor started the task on B in error while r1 ran, and the order is executed only after r1 has ended under the second successor. The two runs exist already without this change, unless the order is that late.

Measured: the task starts again within 0.1 s (5.79 s before).

Ruled out: the same for claims with slack, which is each claim after refused connections or a handover. There the wait of up to 9.3 s remains.

--- a/gypsumfall/dispatch/dispatcher_completions.cc
+++ b/gypsumfall/dispatch/dispatcher_completions.cc
@@ -39,6 +39,7 @@
   run.declared = spec.declared_run_time;
   run.image = interference_.IndexOf(spec.image);
   task.phase = TaskPhase::kBound;
+  task.bound_in_epoch = true;
   task.last_run = std::max(task.last_run, run.number.value());
   job.started = true;
   if (spec.max_per_worker > 0)
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -388,14 +388,29 @@
   }
 }
 
-bool Dispatcher::PredecessorRunsKnown() {
-  if (predecessor_runs_known_) return true;
+void Dispatcher::UpdatePredecessorRunsKnown() {
+  if (predecessor_runs_known_) return;
   for (const auto& [id, worker] : workers_) {
-    if (worker.predecessor_lease) return false;
+    if (worker.predecessor_lease) return;
   }
   predecessor_runs_known_ = true;
   AddEvent("all runs of earlier epochs are known", {}, RunNumber(), {});
-  return true;
+}
+
+bool Dispatcher::EarlierRunsKnown(const Job& job, const TaskName& name) const {
+  if (predecessor_runs_known_ || job.record.accepted_epoch >= epoch_)
+    return true;
+  // Until its slack has passed, a predecessor may take a worker that reports
+  // to this epoch for lost, and start its tasks elsewhere.
+  if (settings_.predecessor_slack > Duration{0}) return false;
+  // A worker that has not reported may hold another member of a gang, or the
+  // successful end of a task of finite length.
+  const StepSpec& spec = job.spec_of(name);
+  if (spec.gang || !spec.long_running) return false;
+  // The run that this epoch bound was the only one of the task.
+  const Step& step = job.occurrences[static_cast<std::size_t>(name.occurrence)]
+                         .steps[static_cast<std::size_t>(name.step)];
+  return step.tasks[static_cast<std::size_t>(name.index)].bound_in_epoch;
 }
 
 }  // namespace gypsumfall
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -97,6 +97,7 @@
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
     ExpireLeases(now);
+    UpdatePredecessorRunsKnown();
     MovePausedRuns(now);
     MoveStalledRuns(now);
     DropUnusableReservations(now);
@@ -294,7 +295,7 @@
 
 void Dispatcher::AddStartOrders(Time now, std::vector<Order>& orders) {
   if (ready_steps_.empty()) return;
-  const bool predecessor_runs_known = PredecessorRunsKnown();
+  UpdatePredecessorRunsKnown();
   const bool place_best_effort = now >= next_best_effort_round_;
   if (place_best_effort) {
     next_best_effort_round_ =
@@ -305,10 +306,6 @@
   UnplaceableRequests unplaceable;
   for (const StepRef& ref : RankSteps(now)) {
     const Job& job = *jobs_.Find(ref.job);
-    if (job.record.accepted_epoch < epoch_ && !predecessor_runs_known) {
-      AddWaitEvent(ref, now, "not all runs of earlier epochs are known");
-      continue;
-    }
     const StepSpec& spec =
         job.record.spec.steps[static_cast<std::size_t>(ref.step)];
     if (spec.best_effort && !place_best_effort) continue;
@@ -316,11 +313,19 @@
     if (unplaceable.Covers(spec, job.record.terms.service) &&
         !HoldsWorkerForAny(ref, now)) {
       AddWaitEvent(ref, now, "a smaller task found no worker");
-    } else if (StartStep(ref, now, orders)) {
-      ready_steps_.erase(ref);
-    } else {
-      AddWaitEvent(ref, now, "no eligible worker has enough free resources");
-      unplaceable.Add(spec, job.record.terms.service);
+      continue;
+    }
+    switch (StartStep(ref, now, orders)) {
+      case StepStart::kAllStarted:
+        ready_steps_.erase(ref);
+        break;
+      case StepStart::kNoWorker:
+        AddWaitEvent(ref, now, "no eligible worker has enough free resources");
+        unplaceable.Add(spec, job.record.terms.service);
+        break;
+      case StepStart::kRunsUnknown:
+        AddWaitEvent(ref, now, "not all runs of earlier epochs are known");
+        break;
     }
   }
 }
@@ -342,28 +347,35 @@
 }
 
 // Starts as many ready tasks of a step as find a worker.
-// @return whether no task of the step is left to start.
-bool Dispatcher::StartStep(const StepRef& ref, Time now,
-                           std::vector<Order>& orders) {
+Dispatcher::StepStart Dispatcher::StartStep(const StepRef& ref, Time now,
+                                            std::vector<Order>& orders) {
   Job& job = *jobs_.Find(ref.job);
   TaskName name{ref.job, ref.occurrence, ref.step, 0};
   Step& step = StepOf(job, name);
-  if (job.spec_of(name).gang) return StartGang(job, name, step, now, orders);
-  bool all_started = true;
+  if (job.spec_of(name).gang) {
+    if (!EarlierRunsKnown(job, name)) return StepStart::kRunsUnknown;
+    return StartGang(job, name, step, now, orders) ? StepStart::kAllStarted
+                                                   : StepStart::kNoWorker;
+  }
+  StepStart result = StepStart::kAllStarted;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     Task& task = step.tasks[i];
     if (task.phase != TaskPhase::kReady) continue;
     name.index = static_cast<int>(i);
+    if (!EarlierRunsKnown(job, name)) {
+      if (result == StepStart::kAllStarted) result = StepStart::kRunsUnknown;
+      continue;
+    }
     // All tasks need the same, so that the others need not be searched for.
-    if (!all_started && !HoldsWorkerFor(name, now)) continue;
+    if (result == StepStart::kNoWorker && !HoldsWorkerFor(name, now)) continue;
     Worker* worker = WorkerFor(job, name, step, now);
     if (worker == nullptr) {
-      all_started = false;
+      result = StepStart::kNoWorker;
       continue;
     }
     orders.emplace_back(PlaceRun(*worker, job, name, task, now));
   }
-  return all_started;
+  return result;
 }
 
 // Starts all tasks of a gang or none, because members that wait for others
--- a/gypsumfall/dispatch/dispatcher_reservations.cc
+++ b/gypsumfall/dispatch/dispatcher_reservations.cc
@@ -167,6 +167,7 @@
     if (task.phase != TaskPhase::kReady || !task.reserved_on.empty()) continue;
     if (now < task.ready_since + kWaitBeforeReservation) continue;
     name.index = static_cast<int>(i);
+    if (!EarlierRunsKnown(job, name)) continue;
     ReserveWorker(job, name, starving_task_searches_, now);
     // The other tasks need the same.
     if (task.reserved_on.empty()) return;
@@ -204,7 +205,6 @@
 // is left shortly before the worker may leave: a run that ends at the same time
 // as the worker cannot be told from one that was lost.
 void Dispatcher::MoveRunsOffDrainingWorkers(Time now) {
-  const bool predecessor_runs_known = PredecessorRunsKnown();
   for (auto& [id, worker] : workers_) {
     if (!worker.listed || !worker.entry.draining || !worker.fenced ||
         IsUnresponsive(worker, now)) {
@@ -226,8 +226,7 @@
       const Task* task = jobs_.FindTask(name);
       if (job == nullptr || task == nullptr || IsFinal(job->state)) continue;
       // The task could not start elsewhere yet.
-      if (job->record.accepted_epoch < epoch_ && !predecessor_runs_known)
-        continue;
+      if (!EarlierRunsKnown(*job, name)) continue;
       if (task->reserved_on.empty())
         ReserveWorker(*job, name, move_searches_, now);
       if (HoldsWorkerFor(name, now))
--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -45,9 +45,7 @@
   const StepSpec& spec = job->spec_of(name);
   if (!spec.long_running || spec.best_effort) return nullptr;
   // The task may still run on a worker that has not reported yet.
-  if (job->record.accepted_epoch < epoch_ && !PredecessorRunsKnown())
-    return nullptr;
-  return task;
+  return EarlierRunsKnown(*job, name) ? task : nullptr;
 }
 
 std::vector<TaskName> Dispatcher::TasksToTransfer(Time now, std::size_t limit) {
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -273,7 +273,10 @@
                            Time now);
   void RequeueAllRuns(Worker& worker, Time now, std::string_view reason);
   void ExpireLeases(Time now);
-  bool PredecessorRunsKnown();
+  void UpdatePredecessorRunsKnown();
+  /// @return whether no worker that has not reported yet can hold a run of the
+  ///   task, so that the task may start.
+  bool EarlierRunsKnown(const Job& job, const TaskName& name) const;
 
   // Orders.
   void AddLeaseOrders(Time now, std::vector<Order>& orders);
@@ -306,7 +309,16 @@
   std::vector<StepRef> RankSteps(Time now);
   void AddStartOrders(Time now, std::vector<Order>& orders);
   void AddWaitEvent(const StepRef& ref, Time now, std::string_view reason);
-  bool StartStep(const StepRef& ref, Time now, std::vector<Order>& orders);
+  enum class StepStart {
+    /// No task of the step is left to start.
+    kAllStarted,
+    /// A task of the step has found no worker.
+    kNoWorker,
+    /// Only tasks are left that may still run on a worker that has not
+    /// reported.
+    kRunsUnknown,
+  };
+  StepStart StartStep(const StepRef& ref, Time now, std::vector<Order>& orders);
   bool StartGang(Job& job, const TaskName& first, Step& step, Time now,
                  std::vector<Order>& orders);
   Worker* WorkerFor(Job& job, const TaskName& name, Step& step, Time now);
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -43,6 +43,8 @@
   WorkerId failed_on;
   /// Worker that holds a reservation for the task; empty if none does.
   WorkerId reserved_on;
+  /// This epoch has bound a run of the task to a worker.
+  bool bound_in_epoch = false;
   /// Number of the latest known transfer of the task; 0 if there is none.
   std::uint64_t transfer_number = 0;
 };
--- a/gypsumfall/dispatch/restarts_test.cc
+++ b/gypsumfall/dispatch/restarts_test.cc
@@ -85,5 +85,124 @@
   CHECK(cluster.violations.empty());
 }
 
+TaskName FailingTask() { return {JobId("long-failing"), 0, 0, 0}; }
+
+// Workers in the tests of takeovers. Four of them hold a run, and one of the
+// others can replace each of two that are lost.
+constexpr int kWorkerCount = 6;
+
+/// @return the index of the worker on which the task runs.
+int WorkerOf(SimulatedCluster& cluster, const TaskName& task) {
+  for (int i = 0; i < kWorkerCount; ++i) {
+    if (cluster.worker(i).runs.contains(task)) return i;
+  }
+  FAIL("the task does not run");
+  return -1;
+}
+
+/// Advances until the first run of `FailingTask()` has 0.5 s left. Three other
+/// tasks run on other workers.
+void AdvanceToFailure(SimulatedCluster& cluster) {
+  SetRunTimes(cluster);
+  cluster.Submit(cluster.Record("long-failing", Tasks(1, 5000, true)));
+  cluster.Submit(cluster.Record("long-other", Tasks(3, 5000, true)));
+  cluster.Advance(milliseconds(2510));
+}
+
+// Guards against a task that waits for the lease of an unreachable worker
+// although its only run was on a worker that has reported.
+TEST_CASE("a successor restarts an adopted task beside unreachable workers") {
+  SimulatedCluster cluster(kWorkerCount);
+  AdvanceToFailure(cluster);
+  const int unreachable =
+      WorkerOf(cluster, {JobId("long-other"), 0, 0, GENERATE(0, 1, 2)});
+  if (GENERATE(false, true)) {
+    cluster.Crash(unreachable);
+  } else {
+    cluster.worker(unreachable).partitioned = true;
+  }
+  cluster.TakeOver();
+  CHECK(LongestGap(cluster, FailingTask(), seconds(12)) <= milliseconds(100));
+  CHECK(cluster.starts[FailingTask()] == 2);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(cluster.RunningNow({JobId("long-other"), 0, 0, i}) == 1);
+  }
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against a second run of an adopted task whose worker became
+// unreachable before or after it reported.
+TEST_CASE("a successor waits for the lease of an adopted task's worker") {
+  SimulatedCluster cluster(kWorkerCount);
+  AdvanceToFailure(cluster);
+  const Duration reported = GENERATE(milliseconds(0), milliseconds(200));
+  const int failing_on = WorkerOf(cluster, FailingTask());
+  // Its run goes on until the lease has expired.
+  cluster.worker(failing_on).runs.at(FailingTask()).run_time = seconds(1000);
+  cluster.Crash(WorkerOf(cluster, {JobId("long-other"), 0, 0, 0}));
+  cluster.TakeOver();
+  cluster.Advance(reported);
+  cluster.worker(failing_on).partitioned = true;
+  CHECK(LongestGap(cluster, FailingTask(), seconds(12)) < kMaxRestartTime);
+  CHECK(cluster.starts[FailingTask()] == 2);
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against a restart while a predecessor may still start the task on a
+// worker that has not reported.
+TEST_CASE("a successor with predecessor slack waits for unreachable workers") {
+  SimulatedCluster cluster(kWorkerCount);
+  AdvanceToFailure(cluster);
+  cluster.Crash(WorkerOf(cluster, {JobId("long-other"), 0, 0, 0}));
+  cluster.TakeOver(seconds(3));
+  cluster.Advance(seconds(9));
+  CHECK(cluster.starts[FailingTask()] == 1);
+  cluster.Advance(seconds(1));
+  CHECK(cluster.RunningNow(FailingTask()) == 1);
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against a second run of a task of finite length that is done on a
+// worker that has not reported.
+TEST_CASE("a successor restarts no finite task beside unreachable workers") {
+  SimulatedCluster cluster(kWorkerCount);
+  cluster.run_of = [](const TaskName&, int start) {
+    return std::pair{Duration(seconds(3)),
+                     start == 1 ? RunOutcome::kFailed : RunOutcome::kDone};
+  };
+  cluster.Submit(cluster.Record("finite", Tasks(1, 5000, false)));
+  cluster.Advance(milliseconds(2510));
+  const TaskName finite{JobId("finite"), 0, 0, 0};
+  cluster.Crash((WorkerOf(cluster, finite) + 1) % kWorkerCount);
+  cluster.TakeOver();
+  cluster.Advance(seconds(5));
+  CHECK(cluster.starts[finite] == 1);
+  cluster.Advance(seconds(5));
+  CHECK(cluster.StateOf("finite") == JobState::kCompleted);
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against a second run of a member of a gang on a worker that has not
+// reported.
+TEST_CASE("a successor restarts no gang beside unreachable workers") {
+  SimulatedCluster cluster(kWorkerCount);
+  cluster.run_of = [](const TaskName& task, int start) {
+    if (task.index == 0 && start == 1)
+      return std::pair{Duration(seconds(3)), RunOutcome::kFailed};
+    return std::pair{Duration(seconds(20)), RunOutcome::kDone};
+  };
+  JobSpec spec = Tasks(2, 5000, GENERATE(false, true));
+  spec.steps[0].gang = true;
+  cluster.Submit(cluster.Record("gang", spec));
+  cluster.Advance(milliseconds(2510));
+  cluster.worker(WorkerOf(cluster, {JobId("gang"), 0, 0, 1})).partitioned =
+      true;
+  cluster.TakeOver();
+  cluster.Advance(seconds(10));
+  CHECK(cluster.starts[{JobId("gang"), 0, 0, 0}] == 2);
+  CHECK(cluster.RunningNow({JobId("gang"), 0, 0, 0}) == 1);
+  CHECK(cluster.violations.empty());
+}
+
 }  // namespace
 }  // namespace gypsumfall
