--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -47,6 +47,8 @@
   /// are executed.
   int replies_to_lose = 0;
   bool execute_unanswered = true;
+  /// Number of start orders that the worker refuses as unhealthy.
+  int starts_to_refuse = 0;
   /// All runs on the worker fail.
   bool fails_all_runs = false;
   /// Accepts stop orders and does not carry them out yet.
@@ -340,6 +342,12 @@
                                 now_);
       return;
     }
+    if (worker.starts_to_refuse > 0) {
+      --worker.starts_to_refuse;
+      dispatcher_->OnStartReply(
+          order, {OrderVerdict::kRefused, worker.Clock(now_)}, now_, now_);
+      return;
+    }
     const bool lost = worker.replies_to_lose > 0;
     if (lost) --worker.replies_to_lose;
     OrderReply reply{OrderVerdict::kUnanswered, {}};
