Offer all waiting tasks to other shards in turn

What callers would see: a long-running task waits although another shard has capacity, because the first 16 waiting tasks, ordered by the ids of their jobs, are offered each time and fit nowhere (found in review).

Cause: TasksToTransfer began at the first waiting task in each call.

Change: each call continues behind the task at which the last one ended.

--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -49,22 +49,29 @@
 }
 
 std::vector<TaskName> Dispatcher::TasksToTransfer(Time now, std::size_t limit) {
-  std::vector<TaskName> names;
+  std::vector<TaskName> waiting;
   for (const StepRef& ref : ready_steps_) {
     const Job* job = jobs_.Find(ref.job);
     if (job == nullptr || job->slice.IsWhole()) continue;
     TaskName name{ref.job, ref.occurrence, ref.step, 0};
     const int count = job->spec_of(name).task_count;
-    for (; name.index < count && names.size() < limit; ++name.index) {
+    for (; name.index < count; ++name.index) {
       const Task* task = FindTransferable(name);
       if (task == nullptr) continue;
       const Duration wait = task->reserved_on.empty()
                                 ? kWaitBeforeTransfer
                                 : kReservedWaitBeforeTransfer;
-      if (now >= task->ready_since + wait) names.push_back(name);
+      if (now >= task->ready_since + wait) waiting.push_back(name);
     }
   }
-  return names;
+  // Each call continues behind the task at which the last one ended, so that
+  // tasks that fit nowhere do not keep others from being offered.
+  const auto next =
+      std::upper_bound(waiting.begin(), waiting.end(), last_offered_task_);
+  std::rotate(waiting.begin(), next, waiting.end());
+  if (waiting.size() > limit) waiting.resize(limit);
+  if (!waiting.empty()) last_offered_task_ = waiting.back();
+  return waiting;
 }
 
 bool Dispatcher::ReservePlace(const TaskName& name, Time now) {
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -355,6 +355,10 @@
   /// @return the waiting task of a sliced job, or null.
   Task* FindTransferable(const TaskName& name);
   void RemoveTransfersOf(const JobId& job);
+  /// @return whether a worker reports a run of the task that this dispatcher
+  ///   has not started and is stopping.
+  bool HasUnexpectedRun(const TaskName& name) const;
+  void ApplyDeferredTransfers(Time now);
 
   void StoreEvent(DispatchEvent event);
   void AddEvent(std::string_view message, const TaskName& task, RunNumber run,
@@ -396,6 +400,10 @@
   /// Tasks that this shard has given away. Their transfers are stored in its
   /// partition.
   std::set<TaskName> transferred_tasks_;
+  /// Task behind which the next offer to other shards begins.
+  TaskName last_offered_task_;
+  /// Transfers to this shard of tasks that have an unexpected run.
+  std::vector<TaskTransfer> deferred_transfers_;
   std::size_t unstored_ended_jobs_ = 0;
   bool roster_changed_ = false;
   std::vector<DispatchEvent> events_;
