Offer no place before the runs of earlier epochs are known

What callers would see: a task is transferred to a shard whose new leader may not start it for up to 6.3 s; the reservation ends after 3 s, and another task takes the worker (found in review).

Cause: ReservePlace did not check what a start checks.

Measured: 'no place is offered before the runs of earlier epochs are known' failed before and passes.

--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -81,6 +81,9 @@
       IsFinal(job->state) || task->phase != TaskPhase::kExcluded) {
     return false;
   }
+  // The task could not start here before the reservation ends.
+  if (job->record.accepted_epoch < epoch_ && !predecessor_runs_known_)
+    return false;
   ReleaseReservationOf(name, *task);
   const PlacementRequest request = RequestFor(*job, name, StepOf(*job, name));
   Worker* worker = ChooseWorker(workers_, request, interference_, now);
