Let an unexpected run end before a late transfer starts the task

What callers would see: a task runs twice (found in review, by a test).

Cause: a replaced leader that still holds its lease reads a transfer and starts the task, after its successor has read the stored transfers. The successor sees a run of a task that is not its own and stops it, which takes up to the stop timeout. Then it reads the transfer and started the task on another worker.

Change: a transfer of a task with an unexpected run is applied only once no worker reports that run. A transfer never takes a bound run from a leader that has not noticed yet that it was replaced.

Why it works: a run of the predecessor is either reported by a fenced worker, or its worker has not reported, and then the task waits for the lease as any task of an earlier epoch.

Measured: 'a transfer that is read late does not start a running task again' failed before with two runs at once, and passes.

--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -98,6 +98,7 @@
     next_sweep_ = now + kSweepInterval;
     ExpireLeases(now);
     UpdatePredecessorRunsKnown();
+    ApplyDeferredTransfers(now);
     MovePausedRuns(now);
     MoveStalledRuns(now);
     DropUnusableReservations(now);
--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -4,8 +4,8 @@
 // latest transfer names. Only that shard transfers the task, and stores the
 // transfer in its own partition under the condition that it still has its
 // leader. So a successor that reads its own partition knows all tasks that were
-// given away, and a transfer of another shard that it has not read yet only
-// means that a task runs later.
+// given away. A transfer of another shard may be read late, when a predecessor
+// has already started the task; then that run has to end first.
 
 #include <algorithm>
 #include <string>
@@ -120,6 +120,13 @@
   Task* task = jobs_.FindTask(transfer.task);
   if (job == nullptr || task == nullptr || job->slice.IsWhole()) return;
   if (transfer.number <= task->transfer_number) return;
+  if (transfer.shard == settings_.shard && HasUnexpectedRun(transfer.task)) {
+    deferred_transfers_.push_back(transfer);
+    return;
+  }
+  // Only a replaced leader learns from others that it no longer runs a task. It
+  // must not forget a run that exists.
+  if (task->phase == TaskPhase::kBound) return;
   task->transfer_number = transfer.number;
   if (transfer.shard != settings_.shard) {
     task->phase = TaskPhase::kExcluded;
@@ -140,6 +147,17 @@
     MakeReady(transfer.task, *task, now);
 }
 
+bool Dispatcher::HasUnexpectedRun(const TaskName& name) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    return entry.second.unexpected_runs.contains(name);
+  });
+}
+
+void Dispatcher::ApplyDeferredTransfers(Time now) {
+  for (const TaskTransfer& transfer : std::exchange(deferred_transfers_, {}))
+    ApplyTransfer(transfer, now);
+}
+
 void Dispatcher::RestoreTransfer(const TaskTransfer& transfer, Time now) {
   if (jobs_.Find(transfer.task.job) == nullptr) {
     // The job was cancelled while this shard had no leader.
--- a/gypsumfall/dispatch/slices_test.cc
+++ b/gypsumfall/dispatch/slices_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <set>
 #include <string>
 
 #include "gypsumfall/dispatch/internal/simulated_cluster.h"
@@ -81,5 +82,75 @@
   for (const auto& [task, count] : cluster.starts) CHECK(count == 1);
 }
 
+JobSpec LongRunning(int tasks, int cpu) {
+  JobSpec spec;
+  spec.steps.push_back(
+      {.task_count = tasks,
+       .need = {MilliCores(cpu), MebiBytes(100), Accelerators(0)},
+       .declared_run_time = milliseconds(400),
+       .long_running = true});
+  return spec;
+}
+
+// Guards against a transfer to a shard whose new leader may not start the task
+// for longer than the place is reserved.
+TEST_CASE("no place is offered before the runs of earlier epochs are known") {
+  SimulatedCluster cluster(2);
+  RunUntilStopped(cluster);
+  cluster.Submit(cluster.Record("long-job", LongRunning(2, 1000)), kOddTasks);
+  cluster.Advance(seconds(1));
+  const int silent = cluster.RunsOn(0) > 0 ? 1 : 0;
+  cluster.Crash(silent);
+  cluster.TakeOver();
+  cluster.Advance(milliseconds(300));
+  const TaskName offered{JobId("long-job"), 0, 0, 0};
+  CHECK_FALSE(cluster.dispatcher().ReservePlace(offered, cluster.now()));
+  cluster.Advance(seconds(8));
+  CHECK(cluster.dispatcher().ReservePlace(offered, cluster.now()));
+}
+
+// Guards against waiting tasks that are never offered to other shards because
+// the same other tasks are offered again and again.
+TEST_CASE("each waiting task is offered to other shards") {
+  SimulatedCluster cluster(1, {MilliCores(1), MebiBytes(1), Accelerators(0)});
+  cluster.Submit(cluster.Record("long-a", LongRunning(40, 20000)), kOddTasks);
+  cluster.Submit(cluster.Record("long-b", LongRunning(2, 1000)), kOddTasks);
+  cluster.Advance(seconds(3));
+  std::set<TaskName> offered;
+  for (int i = 0; i < 20; ++i) {
+    for (const TaskName& name :
+         cluster.dispatcher().TasksToTransfer(cluster.now(), 16)) {
+      offered.insert(name);
+    }
+    cluster.Advance(milliseconds(500));
+  }
+  CHECK(offered.contains(TaskName{JobId("long-b"), 0, 0, 1}));
+}
+
+// Guards against a second run of a task that a predecessor started after this
+// epoch had read the transfers.
+TEST_CASE("a transfer that is read late does not start a running task again") {
+  SimulatedCluster cluster(2);
+  RunUntilStopped(cluster);
+  cluster.Submit(cluster.Record("long-job", LongRunning(2, 1000)), kOddTasks);
+  cluster.Advance(seconds(1));
+  const TaskTransfer transfer{.task = {JobId("long-job"), 0, 0, 0},
+                              .shard = ShardId(),
+                              .number = 1,
+                              .last_run = RunNumber(1),
+                              .checkpoint = {}};
+  cluster.dispatcher().ApplyTransfer(transfer, cluster.now());
+  cluster.Advance(milliseconds(200));
+  REQUIRE(cluster.RunningNow(transfer.task) == 1);
+  for (int i = 0; i < 2; ++i) cluster.worker(i).stops_pending = true;
+  // The successor has read the other shard's partition before the transfer.
+  cluster.TakeOver();
+  cluster.Advance(milliseconds(300));
+  cluster.dispatcher().ApplyTransfer(transfer, cluster.now());
+  cluster.Advance(milliseconds(600));
+  CHECK(cluster.violations.empty());
+  CHECK(cluster.RunningNow(transfer.task) <= 1);
+}
+
 }  // namespace
 }  // namespace gypsumfall
