Show a job as running once its first task is transferred

What callers saw: GET says 'queued' for a job that runs in another shard, and the number of waiting jobs counts it (found in review).

Cause: the home shard answers for a sliced job by its own slice, which had not started when its only task was given away.

--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -104,6 +104,8 @@
   // Not started here from now on, although the transfer may not get stored:
   // that happens only if another leader replaces this one.
   task->phase = TaskPhase::kExcluded;
+  // The other shard starts the task at once, and this one may show the job.
+  jobs_.Find(name.job)->started = true;
   ++task->transfer_number;
   transferred_tasks_.insert(name);
   transfers_to_record_.push_back({.task = name,
@@ -165,6 +167,7 @@
     return;
   }
   transferred_tasks_.insert(transfer.task);
+  jobs_.Find(transfer.task.job)->started = true;
   ApplyTransfer(transfer, now);
 }
 
--- a/gypsumfall/dispatch/job_table.cc
+++ b/gypsumfall/dispatch/job_table.cc
@@ -152,7 +152,7 @@
 std::uint64_t JobTable::CountWaiting(const QueueId& queue) const {
   std::uint64_t count = 0;
   for (const auto& [id, job] : jobs_) {
-    // A sliced job counts once, where its first task runs.
+    // A sliced job counts once, in the shard whose slice has the first task.
     if (!job->slice.Contains(0)) continue;
     if (job->record.queue == queue && !job->started && !IsFinal(job->state)) {
       ++count;
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -386,6 +386,34 @@
   for (const auto& [task, starts] : d.workers.starts) CHECK(starts == 1);
 }
 
+// Guards against a running job that is shown as queued because the shard that
+// answers for it has given its task away.
+TEST_CASE("a job whose first task was transferred is shown as running") {
+  ShardedDeployment d;
+  d.AwaitScheduled();
+  for (const char* path : {"/long-a", "/long-b", "/long-c", "/long-d"}) {
+    CHECK(d.hosts[0]->SendRequest(HttpMethod::kPost, path).status == 200);
+  }
+  d.hosts[0]->RunUntil([&] { return d.workers.running() == 8; });
+  d.store.Put({"workers", "", "rack1-w8"}, "");
+  const ShardLayout& layout = *d.hosts[0]->layout().layout();
+  ShardId shard_with_room;
+  for (const RackAssignment& assignment : layout.racks) {
+    if (assignment.rack == RackId("rack1")) shard_with_room = assignment.shard;
+  }
+  std::string name = "long-e";
+  while (ShardOf(layout, JobId(name)) == shard_with_room) name += "e";
+  CHECK(d.hosts[0]->SendRequest(HttpMethod::kPost, "/" + name).status == 200);
+  const auto deadline = std::chrono::steady_clock::now() + seconds(9);
+  d.hosts[0]->RunUntil([&] {
+    return d.workers.running() == 10 ||
+           std::chrono::steady_clock::now() > deadline;
+  });
+  REQUIRE(d.workers.running() == 10);
+  CHECK(d.hosts[0]->SendRequest(HttpMethod::kGet, "/" + name).body ==
+        StateText(JobState::kRunning));
+}
+
 // If two schedulers sent orders to one worker, they would exceed its capacity.
 TEST_CASE("workers of a new rack are assigned to one shard") {
   ShardedDeployment d;
