--- a/gypsumfall/dispatch/dispatcher_reservations.cc
+++ b/gypsumfall/dispatch/dispatcher_reservations.cc
@@ -26,7 +26,6 @@
 // Time before a worker may leave at which its last runs are stopped. Covers the
 // delay with which its entry is read, the stop itself and the report of it.
 constexpr Duration kDepartureMargin = milliseconds(1500);
-constexpr int kHighestPriority = 0;
 
 }  // namespace
 
@@ -149,7 +148,7 @@
   if (!AcceptsWork(worker, now) || FailsRuns(worker, now)) return;
   Reserve(worker, name,
           {.need = spec.need,
-           .priority = kHighestPriority,
+           .priority = dispatch_internal::kHighestPriority,
            .until = now + kReservationSlack});
   task->reserved_on = worker.entry.id;
 }
--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -25,7 +25,6 @@
 constexpr Duration kReservedWaitBeforeTransfer = seconds(4);
 // Time in which a transfer is stored and read by the other shard.
 constexpr Duration kTransferTime = seconds(3);
-constexpr int kHighestPriority = 0;
 
 }  // namespace
 
@@ -90,16 +89,15 @@
   if (worker == nullptr || FailsRuns(*worker, now)) return false;
   Reserve(*worker, name,
           {.need = request.spec->need,
-           .priority = kHighestPriority,
+           .priority = dispatch_internal::kHighestPriority,
            .until = now + kTransferTime});
   task->reserved_on = worker->entry.id;
   return true;
 }
 
-void Dispatcher::TransferTask(const TaskName& name, ShardId shard,
-                              Time /*now*/) {
+bool Dispatcher::TransferTask(const TaskName& name, ShardId shard) {
   Task* task = FindTransferable(name);
-  if (task == nullptr) return;
+  if (task == nullptr) return false;
   ReleaseReservationOf(name, *task);
   // Not started here from now on, although the transfer may not get stored:
   // that happens only if another leader replaces this one.
@@ -115,6 +113,7 @@
                                   .checkpoint = task->checkpoint});
   AddEvent("task transferred to another shard", name, RunNumber(task->last_run),
            {}, "to shard " + std::to_string(shard.value()));
+  return true;
 }
 
 void Dispatcher::ApplyTransfer(const TaskTransfer& transfer, Time now) {
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -107,8 +107,8 @@
   void RestoreProgress(const JobProgress& progress);
   void RestoreEnded(const JobProgress& progress) { jobs_.AddEnded(progress); }
   void RestoreRoster(const std::vector<RosterEntry>& roster, Time now);
-  /// Restores a transfer that this shard has stored. Must be called after
-  /// `RestoreJob` for its job, which is removed if it is not known.
+  /// Restores a transfer that this shard has stored. Must be called after the
+  /// jobs are restored; the transfer is removed if its job is not among them.
   void RestoreTransfer(const TaskTransfer& transfer, Time now);
 
   /// Schedules a job that is stored; does nothing if its id is already known.
@@ -126,17 +126,17 @@
   /// @return false if the job is not known.
   bool Cancel(const JobId& id, Time now, WallTime wall_now);
 
-  /// @return at most `limit` tasks of sliced jobs that have found no worker
-  /// here
-  ///   for some time, for `TransferTask`.
+  /// @return at most `limit` tasks of sliced jobs that have found no worker for
+  ///   some time, for `TransferTask`. Further calls return the others in turn.
   std::vector<TaskName> TasksToTransfer(Time now, std::size_t limit);
-  /// Reserves a worker for a task that another shard may transfer to this one.
-  /// The reservation lasts long enough to store and read the transfer.
+  /// Reserves a worker for a task that another shard may transfer to this one,
+  /// for the time that it takes to store and read the transfer.
   /// @return whether a worker has enough free resources now.
   bool ReservePlace(const TaskName& name, Time now);
-  /// Gives a waiting task to another shard; does nothing if the task no longer
-  /// waits. The transfer takes effect when the batch with it is stored.
-  void TransferTask(const TaskName& name, ShardId shard, Time now);
+  /// Gives a waiting task to another shard. The transfer takes effect when the
+  /// batch with it is stored.
+  /// @return whether the task still waits.
+  bool TransferTask(const TaskName& name, ShardId shard);
   /// Handles a transfer that another shard has stored, and runs the task if it
   /// names this shard. Does nothing if a later one is known.
   void ApplyTransfer(const TaskTransfer& transfer, Time now);
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -95,6 +95,9 @@
   Time stop_sent_at{};
 };
 
+/// Priority of reservations that hold against all tasks.
+inline constexpr int kHighestPriority = 0;
+
 /// Resources kept free on a worker for a task that is to start there.
 struct Reservation {
   Resources need;
--- a/gypsumfall/scheduler/dispatch_service_jobs.cc
+++ b/gypsumfall/scheduler/dispatch_service_jobs.cc
@@ -165,8 +165,7 @@
                                     ShardId shard) {
   if (!is_scheduling()) return;
   for (const TaskName& task : tasks) {
-    transfers_.Add();
-    dispatcher_->TransferTask(task, shard, context_.Now());
+    if (dispatcher_->TransferTask(task, shard)) transfers_.Add();
   }
   RunCycleSoon();
 }
