Test transfers between shards, one of which keeps a task waiting

The shards read each other's transfers in SimulatedShards. SimulatedCluster stores transfers and restores them in TakeOver.

Of 20 waiting tasks the same first 16 are offered from 2 s to 9 s, none of which fits anywhere. The 20th, for which the other shard has capacity, is never offered.

SimulatedWorker held a lease for as long as an order said. Such leases are cut to the longest one that workers accept, as DispatchSettings::max_lease says.

--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -63,6 +63,13 @@
   std::vector<CompletionReport> ended;
   std::uint64_t completion_count = 0;
 
+  /// Extends the lease, to the longest one that workers accept at most: the
+  /// order may count from the clock of an earlier incarnation.
+  void ExtendLease(WorkerTime until, Time now) {
+    const WorkerTime longest = Clock(now) + DispatchSettings{}.max_lease;
+    lease_until = std::max(lease_until, std::min(until, longest));
+  }
+
   WorkerTime Clock(Time now) const {
     return WorkerTime(Duration(static_cast<std::int64_t>(
         static_cast<double>((now - clock_start).count()) * clock_rate)));
@@ -76,8 +83,10 @@
   explicit SimulatedCluster(int worker_count,
                             Resources capacity = {MilliCores(8000),
                                                   MebiBytes(8000),
-                                                  Accelerators(0)})
-      : dispatcher_(std::in_place, DispatchSettings{}, Epoch(1),
+                                                  Accelerators(0)},
+                            ShardId shard = {})
+      : shard_(shard),
+        dispatcher_(std::in_place, DispatchSettings{.shard = shard}, Epoch(1),
                     kSimulationStart) {
     for (int i = 0; i < worker_count; ++i) AddWorker(i, capacity);
     Advance(milliseconds(100));
@@ -143,12 +152,18 @@
     const Epoch epoch = dispatcher_->epoch().Next();
     open_lease_calls_.clear();
     dispatcher_.emplace(
-        DispatchSettings{.predecessor_slack = predecessor_slack}, epoch, now_);
+        DispatchSettings{.shard = shard_,
+                         .predecessor_slack = predecessor_slack},
+        epoch, now_);
     for (const auto& [id, record] : stored_jobs_) {
-      if (!stored_ended_.contains(id) && !unread_jobs.contains(id)) {
+      if (!stored_ended_.contains(id) && !unread_jobs.contains(id) &&
+          !cancelled_slices.contains(id)) {
         dispatcher_->RestoreJob(record, now_, WallNow(), slices_[id]);
       }
     }
+    for (const auto& [name, transfer] : stored_transfers) {
+      dispatcher_->RestoreTransfer(transfer, now_);
+    }
     for (const auto& [id, progress] : stored_progress_) {
       if (!stored_ended_.contains(id)) dispatcher_->RestoreProgress(progress);
     }
@@ -205,6 +220,9 @@
     }
     return count;
   }
+  const std::map<WorkerId, SimulatedWorker>& workers() const {
+    return workers_;
+  }
   /// @return whether the worker still lists the end of a run of the task, so
   ///   that no scheduler has acknowledged it.
   bool ListsEndOf(int index, const TaskName& name) {
@@ -231,6 +249,33 @@
   bool store_available = true;
   /// Jobs that are stored after a successor has read the job table.
   std::set<JobId> unread_jobs;
+  /// Sliced jobs whose cancellation is stored.
+  std::set<JobId> cancelled_slices;
+  /// Transfers that this shard has stored and not removed.
+  std::map<TaskName, TaskTransfer> stored_transfers;
+  /// Called with each transfer that this shard stores.
+  std::function<void(const TaskTransfer&)> on_transfer_stored;
+
+  /// Stores the records that wait, as `Advance` does while the store is
+  /// available.
+  void StoreRecords() {
+    if (!dispatcher_->HasRecords()) return;
+    const RecordBatch batch = dispatcher_->TakeRecords(90);
+    for (const JobProgress& job_progress : batch.progress) {
+      stored_progress_[job_progress.id] = job_progress;
+    }
+    for (const JobProgress& job_progress : batch.ended)
+      stored_ended_[job_progress.id] = job_progress;
+    for (const TaskTransfer& transfer : batch.transfers) {
+      stored_transfers[transfer.task] = transfer;
+      if (on_transfer_stored) on_transfer_stored(transfer);
+    }
+    for (const TaskName& name : batch.obsolete_transfers) {
+      stored_transfers.erase(name);
+    }
+    if (batch.roster_changed) stored_roster_ = batch.roster;
+    dispatcher_->OnRecorded(batch);
+  }
 
  private:
   void EndRuns(SimulatedWorker& worker) {
@@ -299,9 +344,7 @@
       return reply;
     }
     worker.highest_epoch = dispatcher_->epoch();
-    if (order.lease_until) {
-      worker.lease_until = std::max(worker.lease_until, *order.lease_until);
-    }
+    if (order.lease_until) worker.ExtendLease(*order.lease_until, now_);
     ForgetAcknowledged(worker, order);
     reply.verdict = OrderVerdict::kAccepted;
     reply.worker_clock = worker.Clock(now_);
@@ -356,7 +399,7 @@
     worker.highest_epoch = dispatcher_->epoch();
     if (order.lease_until < worker.Clock(now_))
       return OrderVerdict::kStaleLease;
-    worker.lease_until = std::max(worker.lease_until, order.lease_until);
+    worker.ExtendLease(order.lease_until, now_);
     RunNumber& highest_run = worker.highest_run[order.task];
     if (order.run <= highest_run) return OrderVerdict::kStaleRun;
     highest_run = order.run;
@@ -412,19 +455,8 @@
     dispatcher_->OnThrottleReply(order, {OrderVerdict::kAccepted, {}});
   }
 
-  void StoreRecords() {
-    if (!dispatcher_->HasRecords()) return;
-    const RecordBatch batch = dispatcher_->TakeRecords(90);
-    for (const JobProgress& job_progress : batch.progress) {
-      stored_progress_[job_progress.id] = job_progress;
-    }
-    for (const JobProgress& job_progress : batch.ended)
-      stored_ended_[job_progress.id] = job_progress;
-    if (batch.roster_changed) stored_roster_ = batch.roster;
-    dispatcher_->OnRecorded(batch);
-  }
-
   Time now_ = kSimulationStart;
+  ShardId shard_;
   std::optional<Dispatcher> dispatcher_;
   std::map<WorkerId, SimulatedWorker> workers_;
   std::vector<std::pair<LeaseOrder, Time>> open_lease_calls_;
--- /dev/null
+++ b/gypsumfall/dispatch/internal/simulated_shards.h
@@ -0,0 +1,263 @@
+#ifndef GYPSUMFALL_DISPATCH_INTERNAL_SIMULATED_SHARDS_H_
+#define GYPSUMFALL_DISPATCH_INTERNAL_SIMULATED_SHARDS_H_
+
+// A simulation for tests of this library: several shards, each with its
+// workers, that read the transfers and cancellations of each other.
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "gypsumfall/dispatch/internal/simulated_cluster.h"
+
+namespace gypsumfall {
+
+/// Several shards with sliced jobs. Checks over all shards that no task runs
+/// twice at a time and that the run numbers of a task rise.
+class SimulatedShards {
+ public:
+  explicit SimulatedShards(int shard_count) {
+    for (int i = 0; i < shard_count; ++i) {
+      const ShardId shard(static_cast<std::uint64_t>(i));
+      shards_.push_back(std::make_unique<Shard>(shard));
+      shards_.back()->cluster.on_transfer_stored =
+          [this](const TaskTransfer& transfer) {
+            changes_.emplace_back(transfer);
+          };
+    }
+  }
+
+  int shard_count() const { return static_cast<int>(shards_.size()); }
+  SimulatedCluster& shard(int index) {
+    return shards_[static_cast<std::size_t>(index)]->cluster;
+  }
+  Time now() { return shard(0).now(); }
+
+  /// Submits a slice of the job to each shard.
+  void Submit(const std::string& id, const JobSpec& spec) {
+    for (int i = 0; i < shard_count(); ++i) {
+      JobRecord record = shard(i).Record(id, spec);
+      record.accepted_epoch = Epoch(1);
+      shard(i).Submit(record,
+                      {.first = static_cast<std::uint64_t>(i),
+                       .stride = static_cast<std::uint64_t>(shard_count())});
+    }
+  }
+
+  /// Stores the cancellation of a sliced job; shards that read changes apply
+  /// it.
+  void Cancel(const JobId& id) {
+    for (auto& other : shards_) other->cluster.cancelled_slices.insert(id);
+    changes_.emplace_back(id);
+  }
+
+  /// Simulates `duration` in steps of 10 ms.
+  void Advance(Duration duration) {
+    const Time end = now() + duration;
+    while (now() < end) {
+      for (auto& other : shards_) other->cluster.Advance(kSimulationStep);
+      for (int i = 0; i < shard_count(); ++i) {
+        if (shards_[static_cast<std::size_t>(i)]->reads_changes) ReadChanges(i);
+        DeliverReply(i);
+        if (offers_tasks && now() >= NextOffer(i)) OfferTasks(i);
+      }
+      CheckRuns();
+    }
+  }
+
+  /// Makes a shard read the changes of `Cancel` and of other shards at once, or
+  /// only when it is replaced or `ReadChanges` is called.
+  void SetReadsChanges(int index, bool reads) {
+    shards_[static_cast<std::size_t>(index)]->reads_changes = reads;
+  }
+
+  void ReadChanges(int index) {
+    Shard& reader = *shards_[static_cast<std::size_t>(index)];
+    for (; reader.position < changes_.size(); ++reader.position) {
+      ApplyChange(reader, changes_[reader.position]);
+    }
+  }
+
+  /// Applies a transfer again that the shard has read before.
+  /// @param position index of the change, of which transfers count only.
+  void ReadAgain(int index, std::size_t position) {
+    Shard& reader = *shards_[static_cast<std::size_t>(index)];
+    if (position >= reader.position) return;
+    if (const auto* transfer = std::get_if<TaskTransfer>(&changes_[position]))
+      reader.cluster.dispatcher().ApplyTransfer(*transfer, now());
+  }
+
+  /// Replaces the scheduler of a shard by a successor, which reads what all
+  /// shards have stored.
+  void TakeOver(int index) {
+    Shard& successor = *shards_[static_cast<std::size_t>(index)];
+    successor.cluster.TakeOver();
+    for (auto& other : shards_) {
+      if (other.get() == &successor) continue;
+      for (const auto& [name, transfer] : other->cluster.stored_transfers) {
+        successor.cluster.dispatcher().ApplyTransfer(transfer, now());
+      }
+    }
+    successor.position = changes_.size();
+  }
+
+  /// Offers the waiting tasks of a shard to the next other shard.
+  void OfferTasks(int index) {
+    Shard& giver = *shards_[static_cast<std::size_t>(index)];
+    giver.next_offer = now() + kOfferInterval;
+    if (giver.reply) return;
+    const std::vector<TaskName> tasks =
+        giver.cluster.dispatcher().TasksToTransfer(now(), kMaxTasksPerOffer);
+    if (tasks.empty()) return;
+    const int other = (index + giver.next_offset) % shard_count();
+    giver.next_offset = giver.next_offset % (shard_count() - 1) + 1;
+    Reply reply{.arrives = now() + reply_delay(),
+                .shard = ShardId(static_cast<std::uint64_t>(other)),
+                .reserved = {}};
+    for (const TaskName& name : tasks) {
+      if (shard(other).dispatcher().ReservePlace(name, now()))
+        reply.reserved.push_back(name);
+    }
+    giver.reply = std::move(reply);
+    DeliverReply(index);
+  }
+
+  /// @return the number of runs of the task in all shards.
+  int RunningNow(const TaskName& name) const {
+    int count = 0;
+    for (const auto& other : shards_) count += other->cluster.RunningNow(name);
+    return count;
+  }
+  /// @return the highest number of a run of the task.
+  RunNumber HighestRun(const TaskName& name) const {
+    const auto found = latest_runs_.find(name);
+    return found == latest_runs_.end() ? RunNumber() : found->second.number;
+  }
+  /// @return the number of transfers that shards have stored.
+  int transfer_count() const {
+    return static_cast<int>(
+        std::count_if(changes_.begin(), changes_.end(), [](const auto& change) {
+          return std::holds_alternative<TaskTransfer>(change);
+        }));
+  }
+  /// @return the number of stored changes that shards read.
+  std::size_t change_count() const { return changes_.size(); }
+  /// @return descriptions of violated invariants.
+  std::vector<std::string> Violations() const {
+    std::vector<std::string> all = violations_;
+    for (const auto& other : shards_) {
+      const auto& found = other->cluster.violations;
+      all.insert(all.end(), found.begin(), found.end());
+    }
+    return all;
+  }
+
+  /// Whether shards offer waiting tasks to each other.
+  bool offers_tasks = true;
+  /// Returns the time after which the answer to an offer is applied.
+  std::function<Duration()> reply_delay = [] { return Duration{0}; };
+
+ private:
+  // Those of the transfer service of the scheduler.
+  static constexpr Duration kOfferInterval = milliseconds(500);
+  static constexpr std::size_t kMaxTasksPerOffer = 16;
+
+  /// The answer to an offer of tasks.
+  struct Reply {
+    Time arrives{};
+    ShardId shard;
+    std::vector<TaskName> reserved;
+  };
+
+  struct Shard {
+    explicit Shard(ShardId id) : cluster(0, {}, id) {}
+
+    SimulatedCluster cluster;
+    bool reads_changes = true;
+    /// Number of changes that the scheduler has read.
+    std::size_t position = 0;
+    Time next_offer{};
+    int next_offset = 1;
+    std::optional<Reply> reply;
+  };
+
+  struct LatestRun {
+    RunNumber number;
+    std::size_t shard = 0;
+    WorkerId worker;
+  };
+
+  /// A stored transfer, or the id of a cancelled job.
+  using Change = std::variant<TaskTransfer, JobId>;
+
+  Time NextOffer(int index) const {
+    return shards_[static_cast<std::size_t>(index)]->next_offer;
+  }
+
+  void ApplyChange(Shard& reader, const Change& change) {
+    Dispatcher& dispatcher = reader.cluster.dispatcher();
+    if (const auto* transfer = std::get_if<TaskTransfer>(&change)) {
+      dispatcher.ApplyTransfer(*transfer, now());
+    } else {
+      dispatcher.Cancel(std::get<JobId>(change), now(),
+                        reader.cluster.WallNow());
+    }
+  }
+
+  void DeliverReply(int index) {
+    Shard& giver = *shards_[static_cast<std::size_t>(index)];
+    if (!giver.reply || now() < giver.reply->arrives) return;
+    for (const TaskName& name : giver.reply->reserved) {
+      giver.cluster.dispatcher().TransferTask(name, giver.reply->shard, now());
+    }
+    giver.reply.reset();
+  }
+
+  void CheckRuns() {
+    std::map<TaskName, int> counts;
+    for (std::size_t i = 0; i < shards_.size(); ++i) {
+      for (const auto& [id, worker] : shards_[i]->cluster.workers()) {
+        for (const auto& [name, run] : worker.runs) {
+          if (++counts[name] == 2) AddViolation("runs in two places", name);
+          CheckNumber(name, {run.number, i, id});
+        }
+      }
+    }
+  }
+
+  void CheckNumber(const TaskName& name, const LatestRun& run) {
+    const auto [found, first] = latest_runs_.try_emplace(name, run);
+    if (first) return;
+    LatestRun& latest = found->second;
+    const bool same = latest.number == run.number &&
+                      latest.shard == run.shard && latest.worker == run.worker;
+    if (same) return;
+    if (run.number <= latest.number)
+      AddViolation("has a run whose number does not rise", name);
+    latest = run;
+  }
+
+  void AddViolation(const std::string& text, const TaskName& name) {
+    violations_.push_back(
+        name.job.str() + "/" + std::to_string(name.index) + " " + text +
+        " at " + std::to_string((now() - kSimulationStart) / milliseconds(1)) +
+        " ms");
+  }
+
+  std::vector<std::unique_ptr<Shard>> shards_;
+  std::vector<Change> changes_;
+  std::map<TaskName, LatestRun> latest_runs_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace gypsumfall
+
+#endif  // GYPSUMFALL_DISPATCH_INTERNAL_SIMULATED_SHARDS_H_
