--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -47,8 +47,9 @@
   return EarlierRunsKnown(*job, name) ? task : nullptr;
 }
 
-std::vector<TaskName> Dispatcher::TasksToTransfer(Time now, std::size_t limit) {
-  std::vector<TaskName> waiting;
+std::vector<TaskName> Dispatcher::TasksToTransfer(ShardId other, Time now,
+                                                  std::size_t limit) {
+  std::vector<TaskName> names;
   for (const StepRef& ref : ready_steps_) {
     const Job* job = jobs_.Find(ref.job);
     if (job == nullptr || job->slice.IsWhole()) continue;
@@ -60,17 +61,16 @@
       const Duration wait = task->reserved_on.empty()
                                 ? kWaitBeforeTransfer
                                 : kReservedWaitBeforeTransfer;
-      if (now >= task->ready_since + wait) waiting.push_back(name);
+      if (now >= task->ready_since + wait) names.push_back(name);
     }
   }
-  // Each call continues behind the task at which the last one ended, so that
-  // tasks that fit nowhere do not keep others from being offered.
-  const auto next =
-      std::upper_bound(waiting.begin(), waiting.end(), last_offered_task_);
-  std::rotate(waiting.begin(), next, waiting.end());
-  if (waiting.size() > limit) waiting.resize(limit);
-  if (!waiting.empty()) last_offered_task_ = waiting.back();
-  return waiting;
+  TaskName& last_offered = last_offered_[other];
+  std::rotate(names.begin(),
+              std::upper_bound(names.begin(), names.end(), last_offered),
+              names.end());
+  if (names.size() > limit) names.resize(limit);
+  if (!names.empty()) last_offered = names.back();
+  return names;
 }
 
 bool Dispatcher::ReservePlace(const TaskName& name, Time now) {
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -126,11 +126,14 @@
   /// @return false if the job is not known.
   bool Cancel(const JobId& id, Time now, WallTime wall_now);
 
-  /// @return at most `limit` tasks of sliced jobs that have found no worker for
-  ///   some time, for `TransferTask`. Further calls return the others in turn.
-  std::vector<TaskName> TasksToTransfer(Time now, std::size_t limit);
-  /// Reserves a worker for a task that another shard may transfer to this one,
-  /// for the time that it takes to store and read the transfer.
+  /// @param other shard that is asked to run the tasks. It is offered all tasks
+  ///   in turn, so that those it cannot hold do not displace the others.
+  /// @return at most `limit` tasks of sliced jobs that have found no worker
+  ///   here for some time, for `TransferTask`.
+  std::vector<TaskName> TasksToTransfer(ShardId other, Time now,
+                                        std::size_t limit);
+  /// Reserves a worker for a task that another shard may transfer to this one.
+  /// The reservation lasts long enough to store and read the transfer.
   /// @return whether a worker has enough free resources now.
   bool ReservePlace(const TaskName& name, Time now);
   /// Gives a waiting task to another shard. The transfer takes effect when the
@@ -400,8 +403,8 @@
   /// Tasks that this shard has given away. Their transfers are stored in its
   /// partition.
   std::set<TaskName> transferred_tasks_;
-  /// Task behind which the next offer to other shards begins.
-  TaskName last_offered_task_;
+  /// Last task of the latest offer, by the shard that it was made to.
+  std::map<ShardId, TaskName> last_offered_;
   /// Transfers to this shard of tasks that have an unexpected run.
   std::vector<TaskTransfer> deferred_transfers_;
   std::size_t unstored_ended_jobs_ = 0;
--- a/gypsumfall/dispatch/slices_test.cc
+++ b/gypsumfall/dispatch/slices_test.cc
@@ -119,7 +119,7 @@
   std::set<TaskName> offered;
   for (int i = 0; i < 20; ++i) {
     for (const TaskName& name :
-         cluster.dispatcher().TasksToTransfer(cluster.now(), 16)) {
+         cluster.dispatcher().TasksToTransfer(ShardId(1), cluster.now(), 16)) {
       offered.insert(name);
     }
     cluster.Advance(milliseconds(500));
