Let scheduler_test listen on free ports

Cause: its hosts listened on ports from 29310 on, so two runs of scheduler_test on one machine failed with "cannot listen".

Change: each test host reserves two free ports of the loopback interface. The reserving sockets stay bound without listening while the host exists, so that no other process is given a port before the host listens on it.

--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -6,8 +6,11 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -320,15 +323,35 @@
   return port;
 }
 
-/// A scheduling host on the loopback interface, without the health and metrics
-/// services.
+/// A free port of the loopback interface. Its socket stays bound and never
+/// listens: a server can listen on the port, and the system gives the port to
+/// no other process.
+class FreePort {
+ public:
+  explicit FreePort(boost::asio::io_context& io) : socket_(io) {
+    using Tcp = boost::asio::ip::tcp;
+    socket_.open(Tcp::v4());
+    socket_.set_option(Tcp::acceptor::reuse_address(true));
+    socket_.bind({boost::asio::ip::address_v4::loopback(), 0});
+  }
+
+  std::uint16_t number() const { return socket_.local_endpoint().port(); }
+
+ private:
+  boost::asio::ip::tcp::acceptor socket_;
+};
+
+/// A scheduling host on free ports of the loopback interface, without the
+/// health and metrics services.
 class TestHost {
  public:
   TestHost(boost::asio::io_context& io, FakeStore& store,
-           InstantWorkers& workers, const std::string& name, int port,
+           InstantWorkers& workers, const std::string& name,
            std::int64_t workers_per_processor = 500,
            double processor_share = 1.0)
       : io_(io),
+        caller_port_(io),
+        peer_port_(io),
         runtime_(io),
         peers_(io, {}),
         ports_{store.Port(), workers.Port(), FakeCallers(), FakeDirectory()} {
@@ -336,10 +359,8 @@
     settings_.timings.worker_heartbeat = milliseconds(100);
     settings_.host.id = EntryHostId(name);
     settings_.host.processor_share = processor_share;
-    settings_.host.listen_callers = {"127.0.0.1",
-                                     static_cast<std::uint16_t>(port)};
-    settings_.host.listen_peers = {"127.0.0.1",
-                                   static_cast<std::uint16_t>(port + 1)};
+    settings_.host.listen_callers = {"127.0.0.1", caller_port_.number()};
+    settings_.host.listen_peers = {"127.0.0.1", peer_port_.number()};
     context_ = std::make_unique<Context>(Context{settings_, "process-" + name,
                                                  runtime_, kernel_, peers_,
                                                  metrics_, ports_});
@@ -428,6 +449,8 @@
   }
 
   boost::asio::io_context& io_;
+  FreePort caller_port_;
+  FreePort peer_port_;
   SchedulerSettings settings_;
   Runtime runtime_;
   ClientPool peers_;
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -13,8 +13,6 @@
 
 using Fault = FakeStore::Fault;
 
-constexpr int kBasePort = 29310;
-
 ShardScope OnlyShard() { return ShardScope(ShardId(0)); }
 
 RowAddress ConfigAddress() { return {"op", "", "config"}; }
@@ -29,7 +27,7 @@
   Deployment() : store(io), workers(io) {
     store.Put(ConfigAddress(), "1");
     store.Put({"workers", "", "w1"}, "");
-    first = std::make_unique<TestHost>(io, store, workers, "a", kBasePort);
+    first = std::make_unique<TestHost>(io, store, workers, "a");
     first->RunUntil([&] { return first->dispatch().is_scheduling(); });
   }
 
@@ -129,7 +127,7 @@
 
 TEST_CASE("any host answers for any job, and another host can take over") {
   Deployment d;
-  TestHost second(d.io, d.store, d.workers, "b", kBasePort + 10);
+  TestHost second(d.io, d.store, d.workers, "b");
   second.RunUntil(
       [&] { return second.elector().lease().record().has_value(); });
   CHECK(second.SendRequest(HttpMethod::kPost, "/job1").status == 200);
@@ -158,11 +156,11 @@
   InstantWorkers workers(io);
   store.Put(ConfigAddress(), "1");
   store.Put({"workers", "", "w1"}, "");
-  TestHost small(io, store, workers, "a", kBasePort, 500, 0.12);
+  TestHost small(io, store, workers, "a", 500, 0.12);
   small.RunUntil([&] { return small.dispatch().is_scheduling(); });
   CHECK(small.SendRequest(HttpMethod::kPost, "/long-job").status == 200);
   small.RunUntil([&] { return workers.running() == 2; });
-  TestHost large(io, store, workers, "b", kBasePort + 10, 500, 0.5);
+  TestHost large(io, store, workers, "b", 500, 0.5);
   large.RunUntil([&] { return large.dispatch().is_scheduling(); });
   CHECK_FALSE(small.dispatch().is_scheduling());
   CHECK(large.SendRequest(HttpMethod::kPost, "/job1").status == 200);
@@ -183,8 +181,7 @@
     }
     for (int i = 0; i < 2; ++i) {
       hosts.push_back(std::make_unique<TestHost>(io, store, workers,
-                                                 "h" + std::to_string(i),
-                                                 kBasePort + 20 + 10 * i, 2));
+                                                 "h" + std::to_string(i), 2));
     }
     for (auto& host : hosts) {
       host->RunUntil([&] { return host->shards().is_ready(); });
@@ -571,7 +568,7 @@
                                .state = JobState::kCompleted,
                                .ended_at = WallTime(32'000'000'000'000),
                                .steps = {}}));
-  TestHost host(io, store, workers, "a", kBasePort);
+  TestHost host(io, store, workers, "a");
   host.RunUntil([&] { return host.dispatch().is_scheduling(); });
   CHECK(host.SendRequest(HttpMethod::kGet, "/ended").body ==
         StateText(JobState::kCompleted));
