Test transfers while leaders are replaced and the store fails

Cause: one test covered transfers of tasks between shards, without a fault.

Change: transfer_test.cc replaces the leaders of both shards, loses the store's responses to the transfer, drops the history of its table, cancels jobs with transferred tasks, and puts malformed rows beside a transfer. ShardedDeployment moves to a header that both test files use. The fake store takes faults for one table, and tells of each transaction. Its dropped history fails the reads of all hosts instead of the first one; the existing test of a dropped cancellation now requires that both shards stop their runs instead of one.

--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -44,11 +44,19 @@
 
   explicit FakeStore(boost::asio::io_context& io) : io_(io) {}
 
-  /// Injects a fault into the next `count` transactions.
-  void InjectFault(Fault fault, int count) {
+  /// Injects a fault into the next `count` transactions that write to the
+  /// table, or into all if it is empty.
+  void InjectFault(Fault fault, int count, const std::string& table = {}) {
     fault_ = fault;
     remaining_faults_ = count;
+    table_with_faults_ = table;
   }
+  /// @return the number of injected faults that have not occurred yet.
+  int remaining_faults() const { return remaining_faults_; }
+
+  /// Called after each transaction that is carried out, before any host can
+  /// read its rows.
+  std::function<void(const RowTransaction&)> on_applied;
 
   void Put(const RowAddress& address, const std::string& value) {
     rows_[Key(address)] = {address, value, RowVersion(++version_)};
@@ -62,9 +70,11 @@
     return found == rows_.end() ? nullptr : &found->second;
   }
 
-  /// Makes the next read of the table's changes fail because the history is
-  /// gone.
-  void DropHistory(const std::string& table) { table_without_history_ = table; }
+  /// Makes reads of the table's changes after an earlier version fail because
+  /// the history is gone.
+  void DropHistory(const std::string& table) {
+    history_start_[table] = RowVersion(++version_);
+  }
 
   /// Number of rows that reads have returned so far.
   std::size_t rows_returned = 0;
@@ -88,8 +98,8 @@
       RowPage page{.outcome = StoreOutcome::kDone,
                    .rows = {},
                    .version = RowVersion(version_)};
-      if (table_without_history_ == table) {
-        table_without_history_.clear();
+      const auto history = history_start_.find(table);
+      if (history != history_start_.end() && after < history->second) {
         page.outcome = StoreOutcome::kHistoryGone;
         Post([done = std::move(done), page]() mutable { done(page); });
         return;
@@ -123,7 +133,7 @@
 
   TransactionReply Transact(const RowTransaction& transaction) {
     Fault fault = Fault::kNone;
-    if (remaining_faults_ > 0) {
+    if (remaining_faults_ > 0 && WritesTo(table_with_faults_, transaction)) {
       --remaining_faults_;
       fault = fault_;
     }
@@ -134,6 +144,15 @@
     return reply;
   }
 
+  static bool WritesTo(const std::string& table,
+                       const RowTransaction& transaction) {
+    return table.empty() ||
+           std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                       [&](const RowWrite& write) {
+                         return write.address.table == table;
+                       });
+  }
+
   TransactionReply Apply(const RowTransaction& transaction) {
     TransactionReply reply{StoreOutcome::kDone, {}, {}};
     for (const RowCondition& condition : transaction.conditions) {
@@ -151,6 +170,7 @@
       if (rows_.erase(Key(address)) == 0) continue;
       removed_.push_back({address, "", reply.version, true});
     }
+    if (on_applied) on_applied(transaction);
     return reply;
   }
 
@@ -178,11 +198,18 @@
   std::map<RowKey, StoredRow> rows_;
   std::vector<StoredRow> removed_;
   std::uint64_t version_ = 0;
-  std::string table_without_history_;
+  /// First versions of which the changes of a table can be read.
+  std::map<std::string, RowVersion> history_start_;
   Fault fault_ = Fault::kNone;
   int remaining_faults_ = 0;
+  std::string table_with_faults_;
 };
 
+inline RowAddress ConfigAddress() { return {"op", "", "config"}; }
+
+/// @return a task of a job with one step.
+inline TaskName TaskOf(const JobId& id, int index) { return {id, 0, 0, index}; }
+
 /// @return whether the job runs until it is cancelled.
 inline bool IsLongRunning(const JobId& job) {
   return job.str().starts_with("long");
@@ -244,6 +271,12 @@
     return runs_by_worker_[worker].ended.size();
   }
 
+  /// @return whether a scheduler has sent a start, a stop or a lease to the
+  ///   worker.
+  bool HasReceivedOrders(const WorkerId& worker) const {
+    return runs_by_worker_.contains(worker);
+  }
+
   /// @return the number of runs that have not ended.
   std::size_t running() const {
     std::size_t count = 0;
@@ -323,6 +356,11 @@
   return port;
 }
 
+/// @return the response body of `FakeCallers` for a state.
+inline std::string StateText(JobState state) {
+  return std::to_string(static_cast<int>(state));
+}
+
 /// A free port of the loopback interface. Its socket stays bound and never
 /// listens: a server can listen on the port, and the system gives the port to
 /// no other process.
@@ -416,7 +454,7 @@
 
   static DirectoryPort FakeDirectory() {
     return {
-        .topology_row = {"op", "", "config"},
+        .topology_row = ConfigAddress(),
         .worker_table = "workers",
         .decode_topology = [](const std::string& value) -> Result<Topology> {
           if (value.empty()) return Fail(ErrorKind::kBadRequest, "empty");
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "gypsumfall/scheduler/internal/fake_ports.h"
+#include "gypsumfall/scheduler/internal/sharded_deployment.h"
 #include "gypsumfall/scheduler/internal/stored_jobs.h"
 
 namespace gypsumfall::scheduler_internal {
@@ -15,13 +16,6 @@
 
 ShardScope OnlyShard() { return ShardScope(ShardId(0)); }
 
-RowAddress ConfigAddress() { return {"op", "", "config"}; }
-
-// Returns the response body of `FakeCallers` for a state.
-std::string StateText(JobState state) {
-  return std::to_string(static_cast<int>(state));
-}
-
 /// A store with a configuration and one worker, and a host that is the leader.
 struct Deployment {
   Deployment() : store(io), workers(io) {
@@ -171,46 +165,6 @@
   for (const auto& [task, count] : workers.starts) CHECK(count == 1);
 }
 
-/// A store with four workers in two racks, split into shards of two workers.
-struct ShardedDeployment {
-  ShardedDeployment() : store(io), workers(io) {
-    store.Put(ConfigAddress(), "1");
-    for (int i = 0; i < 4; ++i) {
-      const std::string rack = i < 2 ? "rack1" : "rack2";
-      store.Put({"workers", "", rack + "-w" + std::to_string(i)}, "");
-    }
-    for (int i = 0; i < 2; ++i) {
-      hosts.push_back(std::make_unique<TestHost>(io, store, workers,
-                                                 "h" + std::to_string(i), 2));
-    }
-    for (auto& host : hosts) {
-      host->RunUntil([&] { return host->shards().is_ready(); });
-    }
-  }
-
-  /// @return whether some host schedules the shard.
-  bool IsScheduled(std::size_t shard) {
-    return std::any_of(hosts.begin(), hosts.end(), [&](const auto& host) {
-      return host->shards().shards()[shard]->dispatch.is_scheduling();
-    });
-  }
-  void AwaitScheduled() {
-    hosts[0]->RunUntil([&] { return IsScheduled(0) && IsScheduled(1); });
-    // Each host must know the leader of each shard.
-    for (auto& host : hosts) {
-      for (const auto& shard : host->shards().shards()) {
-        host->RunUntil(
-            [&] { return shard->elector.lease().record().has_value(); });
-      }
-    }
-  }
-
-  boost::asio::io_context io{1};
-  FakeStore store;
-  InstantWorkers workers;
-  std::vector<std::unique_ptr<TestHost>> hosts;
-};
-
 // If one host led all shards, it would carry the load of the whole deployment.
 TEST_CASE(
     "a large deployment is split, and its shards have different leaders") {
@@ -248,8 +202,6 @@
   CHECK(d.hosts[0]->SendRequest(HttpMethod::kGet, "/").status == 200);
 }
 
-TaskName TaskOf(const JobId& id, int index) { return {id, 0, 0, index}; }
-
 RowAddress SlicedRow(const JobId& id) {
   return {kSlicedJobTable, kSlicedJobPartition, id.str()};
 }
@@ -356,10 +308,10 @@
   d.store.DropHistory(kSlicedJobTable);
   const auto deadline = std::chrono::steady_clock::now() + seconds(10);
   d.hosts[0]->RunUntil([&] {
-    return d.workers.running() < 2 ||
+    return d.workers.running() == 0 ||
            std::chrono::steady_clock::now() > deadline;
   });
-  CHECK(d.workers.running() < 2);
+  CHECK(d.workers.running() == 0);
 }
 
 // Guards against a long-running task that waits in a full shard although
