Give up unanswered start orders without waiting for idle lease calls

Cause: the run may start late, so it is stopped first and counts as gone when a lease call that was sent after the stop does not report it. A lease call returns when a run ends or its time is over. A run that does not exist has no end, so up to four calls in turn waited for 1 to 2 s each.

Evidence: "a start order that is not answered is soon given up" failed before for 9 of 10 times of the open lease call (bound 3.2 s).

Change: the lease call after an unanswered start order, and the one after the stop of a run that was never reported, do not wait.

Why it works: the order of the steps stays (not answered, not reported, stop accepted, not reported after it); only the calls that were already open are still waited for.

Costs two lease calls for each unanswered start order.

Ruled out: giving the task to another worker once the stop is accepted; the run may have started between the last report and the stop, and has not certainly ended before a report says so.

--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -123,6 +123,7 @@
   switch (reply.verdict) {
     case OrderVerdict::kAccepted:
       if (run.phase == RunPhase::kStartSent) run.phase = RunPhase::kRunning;
+      run.confirmed_at = now;
       run.phase_changed_at = now;
       run.progress_at = now;
       return;
@@ -133,6 +134,7 @@
       if (run.phase == RunPhase::kStartSent)
         run.phase = RunPhase::kStartUnconfirmed;
       run.phase_changed_at = now;
+      worker->read_runs_at_once = true;
       AddEvent("start order not answered", order.task, order.run, order.worker);
       return;
     case OrderVerdict::kRefused:
@@ -166,6 +168,8 @@
   bound->second.stop_in_flight = false;
   if (reply.verdict == OrderVerdict::kAccepted) {
     bound->second.phase = RunPhase::kStopAcknowledged;
+    // A run that does not exist has no end that a lease call would report.
+    if (!bound->second.confirmed_at) worker->read_runs_at_once = true;
     bound->second.phase_changed_at = now;
   }
 }
@@ -303,6 +307,7 @@
         run.phase == RunPhase::kStartUnconfirmed) {
       run.phase = RunPhase::kRunning;
       run.phase_changed_at = now;
+      run.confirmed_at = now;
     }
     UpdateProgress(worker, run, report.percent, now);
     run.usage = report.usage;
@@ -334,6 +339,7 @@
           Run{.number = report.run,
               .phase = RunPhase::kRunning,
               .started_at = sent,
+              .confirmed_at = now,
               .phase_changed_at = now,
               .progress_at = now,
               .sent_percent = kUnknownSentPercent});
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -48,6 +48,8 @@
   /// Declared run time.
   Duration declared{0};
   Time started_at{};
+  /// Time at which the run was first known to run; unset before.
+  std::optional<Time> confirmed_at;
   /// Time of the last change of phase. A lease call sent later reports the run
   /// if it exists.
   Time phase_changed_at{};
--- a/gypsumfall/dispatch/restarts_test.cc
+++ b/gypsumfall/dispatch/restarts_test.cc
@@ -204,5 +204,20 @@
   CHECK(cluster.violations.empty());
 }
 
+// Guards against a task that waits for several lease calls in turn until a run
+// that was never reported is given up.
+TEST_CASE("a start order that is not answered is soon given up") {
+  SimulatedCluster cluster(1);
+  SetRunTimes(cluster);
+  // The lease call that is open when the task starts has begun at any time.
+  cluster.Advance(GENERATE(range(0, 10)) * milliseconds(200));
+  cluster.worker(0).replies_to_lose = 1;
+  cluster.worker(0).execute_unanswered = false;
+  cluster.Submit(cluster.Record("long", Tasks(1, 5000, true)));
+  cluster.Advance(milliseconds(3200));
+  CHECK(cluster.RunningNow({JobId("long"), 0, 0, 0}) == 1);
+  CHECK(cluster.violations.empty());
+}
+
 }  // namespace
 }  // namespace gypsumfall
