Count short runs as waiting of long-running tasks

Cause: each end of a run, and each start that was refused or not answered, began the wait of the task anew. So the reservation after 1 s and the transfer after 2 s never came. A worker that leaves start orders unanswered, or fails long-running tasks only, was also chosen again each time, because nothing counted against it.

Evidence, on the code before (restarts_test.cc, workers that fail all runs, fail long-running runs, refuse starts, or leave starts unanswered): - "finds the free worker beside broken ones": not there after 9 s with 1, 2 and 3 workers that leave starts unanswered, although another is free; - "gets a worker reserved beside broken ones": not on the healthy worker after 9 s in 13 of 16 variants; - "is transferred from broken workers": never offered in 9 s in all four.

Change: - the wait of a long-running task goes on until it has run for 3 s; - in that wait it avoids the workers on which a run failed within 3 s or a start was not answered, instead of none; - after 1 s of waiting it is tried on a worker with two such failures only 2 s after its last end. In between it is ready, so that it can be offered to another shard; - it reserves another worker rather than one that it avoids, and does not keep its place on such a worker after 1 s.

Why it works: the wait is the time for which the task has not been at work, which is what the reservations and transfers are meant to bound. A task is still tried on a worker that it avoids if no other one has room, at the latest 2 s after its last end, so no worker is given up for good ("is tried again on the only worker", which also passed before).

Measured: all variants pass.

Ruled out: avoiding workers that refuse a start; no test showed a use, as these get no run for 0.5 s anyway. A delay after one failure: a task whose only worker left one start unanswered would wait 2 s more. Keeping another reservation while the task is tried on an avoided worker: no test needs it now that unanswered starts are given up sooner. Unanswered starts in the health of the worker: one task meets the same worker too seldom for the score to rise.

--- a/gypsumfall/dispatch/dispatcher_completions.cc
+++ b/gypsumfall/dispatch/dispatcher_completions.cc
@@ -17,6 +17,19 @@
 constexpr double kMaxRunTimeRatio = 8;
 constexpr double kRunTimeLearningRate = 0.02;
 
+// A run of a long-running task that is shorter than this does not end the wait
+// of the task: on a worker with a fault, runs end soon after their start.
+constexpr Duration kMinRunTime = seconds(3);
+// Failures of a long-running task that are kept, in all and on one worker.
+// Bounds the search in the list when the task itself is their reason.
+constexpr std::size_t kMaxFailures = 16;
+constexpr std::ptrdiff_t kMaxFailuresOnWorker = 2;
+// Once a long-running task has waited for the first of these, it is not tried
+// again on a worker with the most failures until the second has passed since
+// its last run. Meanwhile it can get another worker reserved or be transferred.
+constexpr Duration kWaitBeforeRetryDelay = seconds(1);
+constexpr Duration kRetryDelay = seconds(2);
+
 }  // namespace
 
 using dispatch_internal::CountFailure;
@@ -56,7 +69,8 @@
   }
 }
 
-void Dispatcher::Requeue(const TaskName& name, Time now) {
+void Dispatcher::Requeue(const TaskName& name, std::optional<Time> confirmed_at,
+                         Time now) {
   Job* job = jobs_.Find(name.job);
   Task* task = jobs_.FindTask(name);
   if (job == nullptr || task == nullptr) return;
@@ -67,7 +81,35 @@
     task->phase = TaskPhase::kBlocked;
     return;
   }
+  const bool keeps_waiting =
+      job->spec_of(name).long_running && task->phase != TaskPhase::kBlocked &&
+      (!confirmed_at || now < *confirmed_at + kMinRunTime);
+  const Time ready_since = keeps_waiting ? task->ready_since : now;
+  if (!keeps_waiting && job->spec_of(name).long_running)
+    task->failed_on.clear();
+  task->last_end = now;
   MakeReady(name, *task, now);
+  task->ready_since = ready_since;
+}
+
+void Dispatcher::AvoidWorker(const TaskName& name, const Worker& worker) {
+  const Job* job = jobs_.Find(name.job);
+  Task* task = jobs_.FindTask(name);
+  if (job == nullptr || task == nullptr || !job->spec_of(name).long_running)
+    return;
+  std::vector<WorkerId>& avoided = task->failed_on;
+  if (task->CountFailuresOn(worker.entry.id) == kMaxFailuresOnWorker) return;
+  if (avoided.size() == kMaxFailures) avoided.erase(avoided.begin());
+  avoided.push_back(worker.entry.id);
+}
+
+bool Dispatcher::IsRetryDelayed(const TaskName& name, const Worker& worker,
+                                Time now) {
+  const Task& task = *jobs_.FindTask(name);
+  return now >= task.ready_since + kWaitBeforeRetryDelay &&
+         now < task.last_end + kRetryDelay &&
+         task.CountFailuresOn(worker.entry.id) >= kMaxFailuresOnWorker &&
+         jobs_.Find(name.job)->spec_of(name).long_running;
 }
 
 void Dispatcher::ApplyCompletion(Worker& worker, const CompletionReport& end,
@@ -126,7 +168,10 @@
                         (was_bound ? "" : ", run not bound to this worker"),
               .routine = !(was_bound && bound->second.long_running)});
   Job* job = jobs_.Find(end.task.job);
+  std::optional<Time> confirmed_at;
   if (was_bound) {
+    // The run has ended, so it has run, if only for an unknown time.
+    confirmed_at = bound->second.confirmed_at.value_or(now);
     if (job != nullptr && end.end == RunOutcome::kDone)
       LearnRunTime(*job, bound->second, now);
     UnbindRun(worker, end.task);
@@ -168,7 +213,11 @@
       CountTaskFailure(*job, end.task, *task, end.run, worker.entry.id);
     }
   }
-  if (!bound_elsewhere) Requeue(end.task, now);
+  if (!bound_elsewhere) Requeue(end.task, confirmed_at, now);
+  if (was_bound && end.end == RunOutcome::kFailed &&
+      now < *confirmed_at + kMinRunTime) {
+    AvoidWorker(end.task, worker);
+  }
   if (was_bound) KeepPlace(worker, end.task, now);
   if (static_cast<int>(task->failed_runs.size()) >=
           job->record.terms.max_attempts &&
@@ -208,7 +257,7 @@
 void Dispatcher::CountTaskFailure(Job& job, const TaskName& name, Task& task,
                                   RunNumber run, const WorkerId& worker) {
   task.failed_runs.push_back(run.value());
-  task.failed_on = worker;
+  task.failed_on = {worker};
   AddRoutineEvent("task attempt failed", name, run, worker,
                   std::to_string(task.failed_runs.size()) + " of " +
                       std::to_string(job.record.terms.max_attempts) +
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -135,6 +135,7 @@
         run.phase = RunPhase::kStartUnconfirmed;
       run.phase_changed_at = now;
       worker->read_runs_at_once = true;
+      AvoidWorker(order.task, *worker);
       AddEvent("start order not answered", order.task, order.run, order.worker);
       return;
     case OrderVerdict::kRefused:
@@ -194,8 +195,9 @@
   if (bound == worker.runs.end()) return;
   AddEvent("run unbound from worker", name, bound->second.number,
            worker.entry.id, std::string(reason));
+  const std::optional<Time> confirmed_at = bound->second.confirmed_at;
   UnbindRun(worker, name);
-  Requeue(name, now);
+  Requeue(name, confirmed_at, now);
 }
 
 void Dispatcher::RequestStop(Worker& worker, const TaskName& name, Time now,
@@ -334,6 +336,7 @@
     return;
   }
   if (report.run.value() < task->last_run && worker.fenced) return;
+  task->ready_since = now;
   AddRoutineEvent("run adopted", report.task, report.run, worker.entry.id);
   BindRun(worker, *job, report.task, *task,
           Run{.number = report.run,
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -191,7 +191,7 @@
     for (auto& [name, run] : worker.runs) {
       if (!IsStalled(worker, run)) continue;
       CountFailure(worker, now);
-      if (Task* task = jobs_.FindTask(name)) task->failed_on = id;
+      if (Task* task = jobs_.FindTask(name)) task->failed_on = {id};
       RequestStop(worker, name, now, "run makes no progress");
     }
   }
@@ -323,6 +323,9 @@
         AddWaitEvent(ref, now, "no eligible worker has enough free resources");
         unplaceable.Add(spec, job.record.terms.service);
         break;
+      case StepStart::kRetryDelayed:
+        AddWaitEvent(ref, now, "runs failed early on all workers that fit");
+        break;
       case StepStart::kRunsUnknown:
         AddWaitEvent(ref, now, "not all runs of earlier epochs are known");
         break;
@@ -373,6 +376,10 @@
       result = StepStart::kNoWorker;
       continue;
     }
+    if (IsRetryDelayed(name, *worker, now)) {
+      if (result == StepStart::kAllStarted) result = StepStart::kRetryDelayed;
+      continue;
+    }
     orders.emplace_back(PlaceRun(*worker, job, name, task, now));
   }
   return result;
@@ -434,14 +441,15 @@
     request.rack = RackId();
     worker = ChooseWorker(workers_, request, interference_, now);
   }
-  if (worker == nullptr) return nullptr;
-  ReleaseReservationOf(name, task);
-  if (spec.same_rack && step.rack.empty()) step.rack = worker->entry.rack;
   return worker;
 }
 
 StartOrder Dispatcher::PlaceRun(Worker& worker, Job& job, const TaskName& name,
                                 Task& task, Time now) {
+  ReleaseReservationOf(name, task);
+  Step& step = StepOf(job, name);
+  if (job.spec_of(name).same_rack && step.rack.empty())
+    step.rack = worker.entry.rack;
   const RunNumber number(task.last_run + 1);
   StartOrder order{.worker = worker.entry.id,
                    .endpoint = worker.entry.endpoint,
--- a/gypsumfall/dispatch/dispatcher_reservations.cc
+++ b/gypsumfall/dispatch/dispatcher_reservations.cc
@@ -54,7 +54,7 @@
                            .service = job.record.terms.service,
                            .priority = job.record.terms.priority,
                            .rack = spec.data_rack,
-                           .avoid = task.failed_on};
+                           .avoided = &task.failed_on};
   if (request.rack.empty() && spec.same_rack) request.rack = step.rack;
   return request;
 }
@@ -122,7 +122,10 @@
     request.rack = RackId();
   }
   Worker* worker = ChooseWorker(workers_, request, interference_, now);
-  if (worker == nullptr) worker = ChooseWorkerToReserve(workers_, request, now);
+  if (worker == nullptr || task.Avoids(worker->entry.id)) {
+    Worker* other = ChooseWorkerToReserve(workers_, request, now);
+    if (other != nullptr) worker = other;
+  }
   if (worker == nullptr) return;
   Reserve(*worker, name,
           {.need = request.spec->need,
@@ -147,6 +150,11 @@
   if (!spec.long_running || spec.best_effort) return;
   if (task->phase != TaskPhase::kReady || !task->reserved_on.empty()) return;
   if (!AcceptsWork(worker, now) || FailsRuns(worker, now)) return;
+  // Another worker is to be reserved.
+  if (now >= task->ready_since + kWaitBeforeReservation &&
+      task->Avoids(worker.entry.id)) {
+    return;
+  }
   Reserve(worker, name,
           {.need = spec.need,
            .priority = kHighestPriority,
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -257,7 +257,14 @@
   std::uint64_t ApplyCompletionToTask(Worker& worker,
                                       const CompletionReport& end, Time now,
                                       WallTime wall_now);
-  void Requeue(const TaskName& name, Time now);
+  /// @param confirmed_at see `Run::confirmed_at`.
+  void Requeue(const TaskName& name, std::optional<Time> confirmed_at,
+               Time now);
+  /// Makes the next runs of a long-running task avoid a worker.
+  void AvoidWorker(const TaskName& name, const Worker& worker);
+  /// @return whether several runs of the task have failed on the worker, and it
+  ///   should not be tried there again yet.
+  bool IsRetryDelayed(const TaskName& name, const Worker& worker, Time now);
   /// Applies the completions that were reported before the job was known.
   void ApplyEarlierCompletions(const JobId& id, Time now, WallTime wall_now);
   void Acknowledge(Worker& worker);
@@ -314,6 +321,9 @@
     kAllStarted,
     /// A task of the step has found no worker.
     kNoWorker,
+    /// Only tasks are left whose runs fail early where there is room for them,
+    /// and that are tried there again later.
+    kRetryDelayed,
     /// Only tasks are left that may still run on a worker that has not
     /// reported.
     kRunsUnknown,
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -1,6 +1,8 @@
 #ifndef GYPSUMFALL_DISPATCH_INTERNAL_JOB_TABLE_H_
 #define GYPSUMFALL_DISPATCH_INTERNAL_JOB_TABLE_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -38,15 +40,28 @@
   /// Highest run number that was used or may have been used.
   std::uint64_t last_run = 0;
   Checkpoint checkpoint;
+  /// Time since which the task waits for a run. A run of a long-running task
+  /// that ends early does not end the wait.
   Time ready_since{};
-  /// Worker of the latest run that failed; the next run avoids it.
-  WorkerId failed_on;
+  /// Time at which the latest run ended or was given up.
+  Time last_end{};
+  /// Workers that the next run avoids: the one of the latest run that failed;
+  /// for a long-running task those on which a run failed early, or a start
+  /// order was not answered, in the current wait, once for each such run.
+  std::vector<WorkerId> failed_on;
   /// Worker that holds a reservation for the task; empty if none does.
   WorkerId reserved_on;
   /// This epoch has bound a run of the task to a worker.
   bool bound_in_epoch = false;
   /// Number of the latest known transfer of the task; 0 if there is none.
   std::uint64_t transfer_number = 0;
+
+  std::ptrdiff_t CountFailuresOn(const WorkerId& worker) const {
+    return std::count(failed_on.begin(), failed_on.end(), worker);
+  }
+  bool Avoids(const WorkerId& worker) const {
+    return CountFailuresOn(worker) > 0;
+  }
 };
 
 /// State of one step of one occurrence.
--- a/gypsumfall/dispatch/internal/placement.h
+++ b/gypsumfall/dispatch/internal/placement.h
@@ -20,9 +20,9 @@
   int priority = 0;
   /// Rack in which the task must run; empty if any will do.
   RackId rack;
-  /// Worker of the latest failed run of the task; chosen only if no other
-  /// worker is eligible.
-  WorkerId avoid;
+  /// Workers that are chosen only if no other one is eligible; null if there
+  /// are none.
+  const std::vector<WorkerId>* avoided = nullptr;
 };
 
 /// @return whether the worker may receive new runs at all.
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -47,8 +47,12 @@
   /// are executed.
   int replies_to_lose = 0;
   bool execute_unanswered = true;
+  /// Refuses all start orders.
+  bool refuses_starts = false;
   /// All runs on the worker fail.
   bool fails_all_runs = false;
+  /// Runs of long-running tasks fail after this time, if set.
+  std::optional<Duration> long_running_fail_after;
   /// Accepts stop orders and does not carry them out yet.
   bool stops_pending = false;
   /// Its runs make no progress and never end.
@@ -354,6 +358,7 @@
     if (dispatcher_->epoch() < worker.highest_epoch)
       return OrderVerdict::kFenced;
     worker.highest_epoch = dispatcher_->epoch();
+    if (worker.refuses_starts) return OrderVerdict::kRefused;
     if (order.lease_until < worker.Clock(now_))
       return OrderVerdict::kStaleLease;
     worker.lease_until = std::max(worker.lease_until, order.lease_until);
@@ -365,7 +370,15 @@
     }
     ++starts_on[order.worker];
     const int start = ++starts[order.task];
-    const auto [run_time, end] = run_of(order.task, start);
+    auto [run_time, end] = run_of(order.task, start);
+    const bool long_running =
+        stored_jobs_.at(order.task.job)
+            .spec.steps[static_cast<std::size_t>(order.task.step)]
+            .long_running;
+    if (long_running && worker.long_running_fail_after) {
+      run_time = *worker.long_running_fail_after;
+      end = RunOutcome::kFailed;
+    }
     worker.runs[order.task] = {
         .number = order.run,
         .run_time = worker.stalls_runs ? seconds(1000)
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -55,6 +55,12 @@
       }));
 }
 
+bool IsAvoided(const Worker& worker, const PlacementRequest& request) {
+  return request.avoided != nullptr &&
+         std::find(request.avoided->begin(), request.avoided->end(),
+                   worker.entry.id) != request.avoided->end();
+}
+
 bool MeetsConstraints(const Worker& worker, const PlacementRequest& request) {
   const StepSpec& spec = *request.spec;
   if (worker.entry.service != request.service) return false;
@@ -175,7 +181,7 @@
     }
     double score = Score(worker, request, model, now);
     score += kUnhealthyPenalty * HealthPenalty(worker, now);
-    if (worker.entry.id == request.avoid) score += kUnhealthyPenalty;
+    if (IsAvoided(worker, request)) score += kUnhealthyPenalty;
     if (score < best_score) {
       best = &worker;
       best_score = score;
@@ -191,7 +197,7 @@
   Worker* best = nullptr;
   Duration shortest = Duration::max();
   for (auto& [id, worker] : workers) {
-    if (!IsEligible(worker, request, now) || id == request.avoid ||
+    if (!IsEligible(worker, request, now) || IsAvoided(worker, request) ||
         HealthPenalty(worker, now) > 0) {
       continue;
     }
--- a/gypsumfall/dispatch/restarts_test.cc
+++ b/gypsumfall/dispatch/restarts_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <initializer_list>
 #include <string>
 #include <utility>
 
@@ -219,5 +220,131 @@
   CHECK(cluster.violations.empty());
 }
 
+/// A fault of a worker that answers lease calls.
+enum class Fault {
+  kFailsRuns,
+  /// Other runs succeed, so that the worker does not look unhealthy.
+  kFailsLongRunning,
+  kRefusesStarts,
+  kIgnoresStarts,
+};
+
+void Break(SimulatedWorker& worker, Fault fault) {
+  worker.fails_all_runs = fault == Fault::kFailsRuns;
+  if (fault == Fault::kFailsRuns || fault == Fault::kFailsLongRunning)
+    worker.long_running_fail_after = milliseconds(50);
+  worker.refuses_starts = fault == Fault::kRefusesStarts;
+  if (fault != Fault::kIgnoresStarts) return;
+  worker.replies_to_lose = 1000;
+  worker.execute_unanswered = false;
+}
+
+/// Makes a cluster of one worker with 8 cores, the last one, and of workers
+/// with 6 cores and a fault, which a task of 5 cores prefers because it leaves
+/// less unused.
+struct BrokenCluster : SimulatedCluster {
+  BrokenCluster(Fault fault, int broken_workers)
+      : SimulatedCluster(broken_workers,
+                         {MilliCores(6000), MebiBytes(300), Accelerators(0)}),
+        healthy(broken_workers) {
+    for (int i = 0; i < broken_workers; ++i) Break(worker(i), fault);
+    AddWorker(healthy, {MilliCores(8000), MebiBytes(8000), Accelerators(0)});
+    Advance(milliseconds(100));
+    run_of = [](const TaskName& task, int) {
+      const bool is_long = task.job.str().starts_with("long");
+      return std::pair{is_long ? Duration(seconds(1000)) : milliseconds(600),
+                       RunOutcome::kDone};
+    };
+  }
+
+  int healthy;
+};
+
+constexpr std::initializer_list<Fault> kFaults = {
+    Fault::kFailsRuns, Fault::kFailsLongRunning, Fault::kRefusesStarts,
+    Fault::kIgnoresStarts};
+
+// Guards against a task that is started on workers with a fault in turn, while
+// another worker is free.
+TEST_CASE("a long-running task finds the free worker beside broken ones") {
+  const Fault fault = GENERATE(values(kFaults));
+  BrokenCluster cluster(fault, GENERATE(1, 2, 3));
+  const TaskName task{JobId("long"), 0, 0, 0};
+  cluster.Submit(cluster.Record("long", Tasks(1, 5000, true)));
+  cluster.Advance(kMaxRestartTime);
+  CHECK(cluster.worker(cluster.healthy).runs.contains(task));
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against a wait that starts anew with each refused start and each short
+// run, so that no worker is ever reserved.
+TEST_CASE("a long-running task gets a worker reserved beside broken ones") {
+  BrokenCluster cluster(GENERATE(values(kFaults)), 1);
+  const TaskName task{JobId("long"), 0, 0, 0};
+  // More memory than the broken worker has keeps the other tasks off it.
+  const int memory = GENERATE(100, 500);
+  const Duration run_time = GENERATE(milliseconds(600), milliseconds(4000));
+  cluster.run_of = [run_time](const TaskName& name, int) {
+    const bool is_long = name.job.str().starts_with("long");
+    return std::pair{is_long ? Duration(seconds(1000)) : run_time,
+                     RunOutcome::kDone};
+  };
+  JobSpec short_task = Tasks(1, 2000, false);
+  short_task.steps[0].need.memory = MebiBytes(memory);
+  short_task.steps[0].declared_run_time = run_time;
+  Duration passed{0};
+  for (int i = 0; passed < seconds(2) + kMaxRestartTime; ++i) {
+    // Requests more than the healthy worker has.
+    cluster.Submit(cluster.Record("short" + std::to_string(i), short_task));
+    if (passed == seconds(2))
+      cluster.Submit(cluster.Record("long", Tasks(1, 5000, true)));
+    cluster.Advance(milliseconds(100));
+    passed += milliseconds(100);
+  }
+  CHECK(cluster.worker(cluster.healthy).runs.contains(task));
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against a task that no other shard is asked to take, because it is
+// started on a broken worker again and again.
+TEST_CASE("a long-running task is transferred from broken workers") {
+  BrokenCluster cluster(GENERATE(values(kFaults)), 1);
+  cluster.Submit(cluster.Record("long-full", Tasks(1, 8000, true)));
+  cluster.Advance(milliseconds(100));
+  REQUIRE(cluster.RunsOn(cluster.healthy) == 1);
+  cluster.Submit(cluster.Record("long", Tasks(1, 5000, true)),
+                 {.first = 0, .stride = 2});
+  bool transferable = false;
+  for (Duration passed{0}; passed < kMaxRestartTime;
+       passed += milliseconds(500)) {
+    cluster.Advance(milliseconds(500));
+    if (!cluster.dispatcher().TasksToTransfer(cluster.now(), 1).empty())
+      transferable = true;
+  }
+  CHECK(transferable);
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against a task that no longer runs on the only worker that can hold
+// it, because its runs have failed there.
+TEST_CASE("a long-running task is tried again on the only worker") {
+  SimulatedCluster cluster(1);
+  const Fault fault = GENERATE(values(kFaults));
+  Break(cluster.worker(0), fault);
+  const TaskName task{JobId("long"), 0, 0, 0};
+  cluster.Submit(cluster.Record("long", Tasks(1, 5000, true)));
+  cluster.Advance(seconds(6));
+  cluster.run_of = [](const TaskName&, int) {
+    return std::pair{Duration(seconds(1000)), RunOutcome::kDone};
+  };
+  SimulatedWorker& worker = cluster.worker(0);
+  worker.fails_all_runs = worker.refuses_starts = false;
+  worker.replies_to_lose = 0;
+  worker.long_running_fail_after.reset();
+  cluster.Advance(seconds(5));
+  CHECK(cluster.RunningNow(task) == 1);
+  CHECK(cluster.violations.empty());
+}
+
 }  // namespace
 }  // namespace gypsumfall
