Count the wait of a lost run from the last answer of its worker

Cause: the wait of the task began when its run was given up, up to 6.3 s after the worker had stopped to answer.

Evidence: "a long-running task of a crashed worker is transferred in time" failed before: 7 s after the crash the task was not offered, although no worker of its shard had room. Nothing in the shard could have changed it in the 2 s for which it waited.

Change: the wait of a run that is given up begins when its worker last answered.

Why it works: the run was last known to run then. The task still starts only after the lease has expired; it then has waited long enough for a reservation and a transfer at once. A run that a worker no longer reports is given up in the answer itself, so nothing changes for it.

Ruled out: nothing else was tried.

--- a/gypsumfall/dispatch/dispatcher_completions.cc
+++ b/gypsumfall/dispatch/dispatcher_completions.cc
@@ -70,7 +70,7 @@
 }
 
 void Dispatcher::Requeue(const TaskName& name, std::optional<Time> confirmed_at,
-                         Time now) {
+                         Time last_known, Time now) {
   Job* job = jobs_.Find(name.job);
   Task* task = jobs_.FindTask(name);
   if (job == nullptr || task == nullptr) return;
@@ -81,15 +81,17 @@
     task->phase = TaskPhase::kBlocked;
     return;
   }
-  const bool keeps_waiting =
-      job->spec_of(name).long_running && task->phase != TaskPhase::kBlocked &&
-      (!confirmed_at || now < *confirmed_at + kMinRunTime);
-  const Time ready_since = keeps_waiting ? task->ready_since : now;
-  if (!keeps_waiting && job->spec_of(name).long_running)
-    task->failed_on.clear();
+  const TaskPhase phase = task->phase;
+  const Time waits_since = task->ready_since;
   task->last_end = now;
   MakeReady(name, *task, now);
-  task->ready_since = ready_since;
+  if (!job->spec_of(name).long_running || phase == TaskPhase::kBlocked) return;
+  if (!confirmed_at || last_known < *confirmed_at + kMinRunTime) {
+    task->ready_since = waits_since;
+  } else {
+    task->ready_since = last_known;
+    task->failed_on.clear();
+  }
 }
 
 void Dispatcher::AvoidWorker(const TaskName& name, const Worker& worker) {
@@ -213,7 +215,7 @@
       CountTaskFailure(*job, end.task, *task, end.run, worker.entry.id);
     }
   }
-  if (!bound_elsewhere) Requeue(end.task, confirmed_at, now);
+  if (!bound_elsewhere) Requeue(end.task, confirmed_at, now, now);
   if (was_bound && end.end == RunOutcome::kFailed &&
       now < *confirmed_at + kMinRunTime) {
     AvoidWorker(end.task, worker);
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -197,7 +197,8 @@
            worker.entry.id, std::string(reason));
   const std::optional<Time> confirmed_at = bound->second.confirmed_at;
   UnbindRun(worker, name);
-  Requeue(name, confirmed_at, now);
+  // A worker whose lease has expired may have lost the run long before.
+  Requeue(name, confirmed_at, worker.last_answer, now);
 }
 
 void Dispatcher::RequestStop(Worker& worker, const TaskName& name, Time now,
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -258,8 +258,9 @@
                                       const CompletionReport& end, Time now,
                                       WallTime wall_now);
   /// @param confirmed_at see `Run::confirmed_at`.
+  /// @param last_known latest time at which the run was known to run.
   void Requeue(const TaskName& name, std::optional<Time> confirmed_at,
-               Time now);
+               Time last_known, Time now);
   /// Makes the next runs of a long-running task avoid a worker.
   void AvoidWorker(const TaskName& name, const Worker& worker);
   /// @return whether several runs of the task have failed on the worker, and it
--- a/gypsumfall/dispatch/restarts_test.cc
+++ b/gypsumfall/dispatch/restarts_test.cc
@@ -346,5 +346,22 @@
   CHECK(cluster.violations.empty());
 }
 
+// Guards against a task that waits for its transfer from the end of the lease,
+// although its worker has not answered for most of a lease by then.
+TEST_CASE("a long-running task of a crashed worker is transferred in time") {
+  SimulatedCluster cluster(2);
+  SetRunTimes(cluster);
+  cluster.Submit(cluster.Record("long-full", Tasks(1, 8000, true)));
+  cluster.Submit(cluster.Record("long", Tasks(1, 5000, true)),
+                 {.first = 0, .stride = 2});
+  const TaskName task{JobId("long"), 0, 0, 0};
+  cluster.Advance(seconds(5));
+  REQUIRE(cluster.RunningNow(task) == 1);
+  cluster.Crash(cluster.worker(0).runs.contains(task) ? 0 : 1);
+  // Two seconds are left to find a place, to store the transfer and to read it.
+  cluster.Advance(kMaxRestartTime - seconds(2));
+  CHECK(cluster.dispatcher().TasksToTransfer(cluster.now(), 1).size() == 1);
+}
+
 }  // namespace
 }  // namespace gypsumfall
