Keep the place of a task where runs fail or a start is refused

Cause: KeepPlace gave the place up where it matters most: on a worker that fails runs, on which the same leader starts other long-running tasks in the same cycle; for one old failure, because the failure that has just been counted is always recent; after a start that was refused; after one lease call that was not answered; and, for a gang, as soon as one member found no worker.

Change: the place is kept in all these cases. A task whose reserved worker fails its runs is started on another worker if one has capacity. After 1 s of waiting the place on a worker that failed or refused the task is kept only if no other worker can be reserved. Kept places, and places promised to other shards, hold while the worker does not accept work for a moment. A gang that can not start gets its reservations back.

Why it works: no other task gains from the place of a task that is refused it, since it goes to the same worker; and the task does not stay with a bad worker, because a healthy one is preferred each time.

--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -151,6 +151,8 @@
       break;
   }
   RequeueMissingRun(*worker, order.task, now, OrderVerdictName(reply.verdict));
+  if (reply.verdict == OrderVerdict::kRefused)
+    KeepPlace(*worker, order.task, now);
 }
 
 void Dispatcher::OnStopReply(const StopOrder& order, const OrderReply& reply,
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -86,8 +86,11 @@
 using dispatch_internal::ChooseWorker;
 using dispatch_internal::ClockNow;
 using dispatch_internal::CountFailure;
+using dispatch_internal::FailsRuns;
 using dispatch_internal::IsStalled;
 using dispatch_internal::IsUnresponsive;
+using dispatch_internal::Reservation;
+using dispatch_internal::Reserve;
 using dispatch_internal::TaskPhase;
 
 std::vector<Order> Dispatcher::Decide(Time now) {
@@ -399,7 +402,14 @@
     }
     last_run = std::max(last_run, task.last_run);
   }
-  std::vector<std::pair<Worker*, TaskName>> placed;
+  struct Placement {
+    Worker* worker = nullptr;
+    TaskName member;
+    /// Reservation that the start has used, and its worker.
+    WorkerId reserved_on;
+    std::optional<Reservation> reservation;
+  };
+  std::vector<Placement> placed;
   std::vector<Order> starts;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     TaskName name = first;
@@ -407,18 +417,27 @@
     Task& task = step.tasks[i];
     Worker* worker = WorkerFor(job, name, step, now);
     if (worker == nullptr) {
-      for (const auto& [assigned_worker, member] : placed) {
-        UnbindRun(*assigned_worker, member);
+      for (const Placement& placement : placed) {
+        const TaskName& member = placement.member;
+        UnbindRun(*placement.worker, member);
         Task& rolled_back = step.tasks[static_cast<std::size_t>(member.index)];
         rolled_back.phase = TaskPhase::kReady;
         rolled_back.last_run = last_run;
+        if (!placement.reservation) continue;
+        Reserve(*workers_.Find(placement.reserved_on), member,
+                *placement.reservation);
+        rolled_back.reserved_on = placement.reserved_on;
       }
       return false;
     }
     task.last_run = last_run;
     task.checkpoint = checkpoint;
+    Placement placement{.worker = worker,
+                        .member = name,
+                        .reserved_on = task.reserved_on,
+                        .reservation = ReservationOf(name, task)};
     starts.emplace_back(PlaceRun(*worker, job, name, task, now));
-    placed.emplace_back(worker, name);
+    placed.push_back(std::move(placement));
   }
   std::move(starts.begin(), starts.end(), std::back_inserter(orders));
   return true;
@@ -429,12 +448,12 @@
   const StepSpec& spec = job.spec_of(name);
   Task& task = step.tasks[static_cast<std::size_t>(name.index)];
   PlacementRequest request = RequestFor(job, name, step);
-  Worker* worker = nullptr;
-  if (HoldsWorkerFor(name, now)) {
-    worker = workers_.Find(task.reserved_on);
-  } else {
-    worker = ChooseWorker(workers_, request, interference_, now);
-  }
+  Worker* reserved =
+      HoldsWorkerFor(name, now) ? workers_.Find(task.reserved_on) : nullptr;
+  if (reserved != nullptr && !FailsRuns(*reserved, now)) return reserved;
+  Worker* worker = ChooseWorker(workers_, request, interference_, now);
+  if (reserved != nullptr && (worker == nullptr || FailsRuns(*worker, now)))
+    return reserved;
   if (worker == nullptr && !request.rack.empty()) {
     // Once the task has waited for its declared run time, waiting for the rack
     // costs more than a slower run elsewhere.
--- a/gypsumfall/dispatch/dispatcher_reservations.cc
+++ b/gypsumfall/dispatch/dispatcher_reservations.cc
@@ -32,7 +32,6 @@
 using dispatch_internal::AcceptsWork;
 using dispatch_internal::ChooseWorker;
 using dispatch_internal::ChooseWorkerToReserve;
-using dispatch_internal::FailsRuns;
 using dispatch_internal::FreeResources;
 using dispatch_internal::IsEligible;
 using dispatch_internal::IsUnresponsive;
@@ -76,6 +75,15 @@
   task.reserved_on = WorkerId();
 }
 
+std::optional<dispatch_internal::Reservation> Dispatcher::ReservationOf(
+    const TaskName& name, const Task& task) {
+  const Worker* worker = workers_.Find(task.reserved_on);
+  if (worker == nullptr) return std::nullopt;
+  const auto found = worker->reservations.find(name);
+  if (found == worker->reservations.end()) return std::nullopt;
+  return found->second;
+}
+
 // Releases the reservations of tasks that no longer need them, of workers that
 // cannot take the task, and those that have not been used in time.
 void Dispatcher::DropUnusableReservations(Time now) {
@@ -87,7 +95,10 @@
       const bool wanted = job != nullptr && task != nullptr &&
                           !IsFinal(job->state) && task->reserved_on == id &&
                           task->phase != TaskPhase::kDone;
-      if (!wanted || now >= reservation.until || !AcceptsWork(worker, now))
+      const bool usable = reservation.committed
+                              ? worker.listed && !worker.entry.draining
+                              : AcceptsWork(worker, now);
+      if (!wanted || now >= reservation.until || !usable)
         unusable.push_back(name);
     }
     for (const TaskName& name : unusable) {
@@ -142,22 +153,26 @@
 // does not become free again. No task gets less than before the run ended, so
 // the reservation holds against every priority.
 void Dispatcher::KeepPlace(Worker& worker, const TaskName& name, Time now) {
-  const Job* job = jobs_.Find(name.job);
+  Job* job = jobs_.Find(name.job);
   Task* task = jobs_.FindTask(name);
   if (job == nullptr || task == nullptr) return;
   const StepSpec& spec = job->spec_of(name);
   if (!spec.long_running || spec.best_effort) return;
   if (task->phase != TaskPhase::kReady || !task->reserved_on.empty()) return;
-  if (!AcceptsWork(worker, now) || FailsRuns(worker, now)) return;
-  // Another worker is to be reserved.
-  if (now >= task->ready_since + kWaitBeforeReservation &&
-      task->Avoids(worker.entry.id)) {
+  if (!worker.listed || worker.entry.draining || IsUnresponsive(worker, now))
     return;
+  const bool failed_here =
+      task->Avoids(worker.entry.id) || now < worker.refused_until;
+  if (failed_here && now >= task->ready_since + kWaitBeforeReservation) {
+    // Another worker is reserved instead, if there is one.
+    const PlacementRequest request = RequestFor(*job, name, StepOf(*job, name));
+    if (ChooseWorkerToReserve(workers_, request, now) != nullptr) return;
   }
   Reserve(worker, name,
           {.need = spec.need,
            .priority = dispatch_internal::kHighestPriority,
-           .until = now + kReservationSlack});
+           .until = now + kReservationSlack,
+           .committed = true});
   task->reserved_on = worker.entry.id;
 }
 
--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -90,7 +90,8 @@
   Reserve(*worker, name,
           {.need = request.spec->need,
            .priority = dispatch_internal::kHighestPriority,
-           .until = now + kTransferTime});
+           .until = now + kTransferTime,
+           .committed = true});
   task->reserved_on = worker->entry.id;
   return true;
 }
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -354,6 +355,8 @@
   void DropUnusableReservations(Time now);
   void ReleaseAllReservations(Worker& worker);
   void ReleaseReservationOf(const TaskName& name, Task& task);
+  std::optional<dispatch_internal::Reservation> ReservationOf(
+      const TaskName& name, const Task& task);
   void ReserveWorker(Job& job, const TaskName& name, SearchBudget& budget,
                      Time now);
   void KeepPlace(Worker& worker, const TaskName& name, Time now);
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -47,8 +47,8 @@
   /// are executed.
   int replies_to_lose = 0;
   bool execute_unanswered = true;
-  /// Refuses all start orders.
-  bool refuses_starts = false;
+  /// Number of start orders that the worker refuses.
+  int starts_to_refuse = 0;
   /// All runs on the worker fail.
   bool fails_all_runs = false;
   /// Runs of long-running tasks fail after this time, if set.
@@ -401,7 +401,10 @@
     if (dispatcher_->epoch() < worker.highest_epoch)
       return OrderVerdict::kFenced;
     worker.highest_epoch = dispatcher_->epoch();
-    if (worker.refuses_starts) return OrderVerdict::kRefused;
+    if (worker.starts_to_refuse > 0) {
+      --worker.starts_to_refuse;
+      return OrderVerdict::kRefused;
+    }
     if (order.lease_until < worker.Clock(now_))
       return OrderVerdict::kStaleLease;
     worker.ExtendLease(order.lease_until, now_);
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -106,6 +106,9 @@
   /// Priority of the task. Tasks of higher priority may use the resources.
   int priority = 0;
   Time until{};
+  /// Holds while the worker does not accept work for a moment, unless it
+  /// drains or has left.
+  bool committed = false;
 };
 
 /// A worker and the runs bound to it.
--- a/gypsumfall/dispatch/restarts_test.cc
+++ b/gypsumfall/dispatch/restarts_test.cc
@@ -9,6 +9,8 @@
 namespace gypsumfall {
 namespace {
 
+// More start orders than a test sends.
+constexpr int kAllStarts = 1'000'000;
 // A long-running task that has ended must run again within this time.
 constexpr Duration kMaxRestartTime = seconds(9);
 
@@ -233,7 +235,7 @@
   worker.fails_all_runs = fault == Fault::kFailsRuns;
   if (fault == Fault::kFailsRuns || fault == Fault::kFailsLongRunning)
     worker.long_running_fail_after = milliseconds(50);
-  worker.refuses_starts = fault == Fault::kRefusesStarts;
+  worker.starts_to_refuse = fault == Fault::kRefusesStarts ? kAllStarts : 0;
   if (fault != Fault::kIgnoresStarts) return;
   worker.replies_to_lose = 1000;
   worker.execute_unanswered = false;
@@ -318,7 +320,9 @@
   for (Duration passed{0}; passed < kMaxRestartTime;
        passed += milliseconds(500)) {
     cluster.Advance(milliseconds(500));
-    if (!cluster.dispatcher().TasksToTransfer(cluster.now(), 1).empty())
+    if (!cluster.dispatcher()
+             .TasksToTransfer(ShardId(1), cluster.now(), 1)
+             .empty())
       transferable = true;
   }
   CHECK(transferable);
@@ -338,7 +342,8 @@
     return std::pair{Duration(seconds(1000)), RunOutcome::kDone};
   };
   SimulatedWorker& worker = cluster.worker(0);
-  worker.fails_all_runs = worker.refuses_starts = false;
+  worker.fails_all_runs = false;
+  worker.starts_to_refuse = 0;
   worker.replies_to_lose = 0;
   worker.long_running_fail_after.reset();
   cluster.Advance(seconds(5));
@@ -360,7 +365,9 @@
   cluster.Crash(cluster.worker(0).runs.contains(task) ? 0 : 1);
   // Two seconds are left to find a place, to store the transfer and to read it.
   cluster.Advance(kMaxRestartTime - seconds(2));
-  CHECK(cluster.dispatcher().TasksToTransfer(cluster.now(), 1).size() == 1);
+  CHECK(cluster.dispatcher()
+            .TasksToTransfer(ShardId(1), cluster.now(), 1)
+            .size() == 1);
 }
 
 }  // namespace
