Place no best-effort run beside a serving run that others harm

Cause: a best-effort run whose image has a learned slope of 0 was placed beside a serving run that misses its target. Slopes are learned from few, scattering reports and are often 0.

Change: such a worker is not eligible until the smoothed headroom shows that the target is met, unless the serving run misses it by its own load, which no best-effort run changes.

Measured: 'no best-effort run is placed beside a harmed serving run' failed before and passes.

--- a/gypsumfall/dispatch/interference.cc
+++ b/gypsumfall/dispatch/interference.cc
@@ -1,6 +1,7 @@
 #include "gypsumfall/dispatch/internal/interference.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -30,10 +31,20 @@
 // Time until the effect of a run shows fully in the reports of other runs: the
 // measurement window of half a second and the interval of the lease calls.
 constexpr Duration kReportDelay = milliseconds(1000);
+// Below this headroom a target counts as missed; the margin above 1 covers the
+// delay of the reports.
+constexpr double kMissedHeadroom = 1.05;
 // Headroom that serving runs are to keep; the margin above 1 covers the scatter
 // of reports.
 constexpr double kTargetHeadroom = 1.35;
 
+// Whether a serving run misses its target, or is about to, and would meet it
+// without best-effort runs.
+bool IsHarmed(const Run& serving) {
+  return serving.headroom < kMissedHeadroom &&
+         serving.baseline_headroom >= kMissedHeadroom;
+}
+
 double ReportedHeadroom(const Run& serving) {
   const double target_ms =
       static_cast<double>(serving.tail_target.count()) / 1000;
@@ -111,8 +122,10 @@
   }
   double shortfall = 0;
   for (const auto& [task, serving] : worker.runs) {
-    if (!IsServing(serving) || Slope(serving.image, best_effort_image) <= 0)
-      continue;
+    if (!IsServing(serving)) continue;
+    // Until the target is met again, it is not known which runs harm it.
+    if (IsHarmed(serving)) return std::numeric_limits<double>::infinity();
+    if (Slope(serving.image, best_effort_image) <= 0) continue;
     double expected_headroom = serving.headroom;
     for (const auto& [image, share] : unreported) {
       expected_headroom -= Slope(serving.image, image) * share;
--- a/gypsumfall/dispatch/interference_test.cc
+++ b/gypsumfall/dispatch/interference_test.cc
@@ -228,6 +228,44 @@
   CHECK(model.Slope(serving, heavy) > 3 * model.Slope(serving, light));
 }
 
+// Guards against best-effort runs that start beside a serving run while it
+// misses its target because of others, so that the miss goes on.
+TEST_CASE("no best-effort run is placed beside a harmed serving run") {
+  Worker worker;
+  worker.entry.capacity = {MilliCores(10000), MebiBytes(1000), {}};
+  InterferenceModel model;
+  const std::size_t image = model.IndexOf(ImageId("harmless"));
+  Bind(worker, {JobId("serve"), 0, 0, 0},
+       Run{.long_running = true,
+           .tail_target = milliseconds(50),
+           .image = model.IndexOf(ImageId("s"))});
+  Run& serving = worker.runs.at({JobId("serve"), 0, 0, 0});
+  for (int i = 0; i < 300; ++i) {
+    const bool beside_best_effort = i % 2 == 0;
+    Unbind(worker, {JobId("fill"), 0, 0, 0});
+    if (beside_best_effort) {
+      Bind(worker, {JobId("fill"), 0, 0, 0},
+           Run{.need = {MilliCores(3000), MebiBytes(1), {}},
+               .best_effort = true,
+               .image = image,
+               .usage = 3000});
+    }
+    serving.usage = beside_best_effort ? 20 : 21;
+    model.Learn(worker);
+  }
+  REQUIRE(model.Slope(serving.image, image) == 0);
+  const auto shortfall = [&] {
+    return model.ShortfallAfterPlacing(worker, image, MilliCores(2000),
+                                       Time{seconds(1000)});
+  };
+  CHECK(shortfall() == 0);
+  serving.headroom = 0.8;
+  CHECK(shortfall() > 1);
+  // Misses its target by its own load, which no best-effort run changes.
+  serving.baseline_headroom = 0.8;
+  CHECK(shortfall() == 0);
+}
+
 TEST_CASE("a target that stays missed pauses all best-effort runs") {
   ColocatedWorkers cluster(1);
   Worker& worker = cluster.workers.begin()->second;
