--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -314,17 +314,22 @@
   CHECK(d.workers.running() == 0);
 }
 
-// Guards against a long-running task that waits in a full shard although
-// another shard has capacity.
-TEST_CASE("a task that its shard cannot run is run by another shard") {
-  ShardedDeployment d;
+// Starts two long-running tasks on each worker, which then have no capacity
+// left, and adds a worker to the shard of the first rack.
+void FillWorkersAndAddOne(ShardedDeployment& d) {
   d.AwaitScheduled();
-  // Each worker has capacity for two of these tasks.
   for (const char* path : {"/long-a", "/long-b", "/long-c", "/long-d"}) {
     CHECK(d.hosts[0]->SendRequest(HttpMethod::kPost, path).status == 200);
   }
   d.hosts[0]->RunUntil([&] { return d.workers.running() == 8; });
   d.store.Put({"workers", "", "rack1-w8"}, "");
+}
+
+// Guards against a long-running task that waits in a full shard although
+// another shard has capacity.
+TEST_CASE("a task that its shard cannot run is run by another shard") {
+  ShardedDeployment d;
+  FillWorkersAndAddOne(d);
   CHECK(d.hosts[0]->SendRequest(HttpMethod::kPost, "/long-e").status == 200);
   const auto deadline = std::chrono::steady_clock::now() + seconds(9);
   d.hosts[0]->RunUntil([&] {
@@ -339,12 +344,7 @@
 // answers for it has given its task away.
 TEST_CASE("a job whose first task was transferred is shown as running") {
   ShardedDeployment d;
-  d.AwaitScheduled();
-  for (const char* path : {"/long-a", "/long-b", "/long-c", "/long-d"}) {
-    CHECK(d.hosts[0]->SendRequest(HttpMethod::kPost, path).status == 200);
-  }
-  d.hosts[0]->RunUntil([&] { return d.workers.running() == 8; });
-  d.store.Put({"workers", "", "rack1-w8"}, "");
+  FillWorkersAndAddOne(d);
   const ShardLayout& layout = *d.hosts[0]->layout().layout();
   ShardId shard_with_room;
   for (const RackAssignment& assignment : layout.racks) {
