--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -427,7 +427,7 @@
         self.hosts = [Host(self, f"front-{i + 1}", f"zone-{i % 2}") for i in range(hosts)]
         ports = free_ports(workers)
         self.workers = [Worker(self, f"worker-{i + 1:02}", ports[i], f"zone-{i % 2}",
-                               f"r{i % 2}-{i // 8}") for i in range(workers)]
+                               f"r{i % 2}-{i // 4}") for i in range(workers)]
         self.starts, self.run_ends = [], []
         self.quiet = False
         self.tasks = []
