--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -515,6 +515,9 @@
     """Plays a case. `play(cluster)` returns a text if the rule was broken, else None."""
     async def run():
         cluster = Cluster(case_folder, **size)
+        # The hosts are ended also when the script is stopped from outside.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             await cluster.start()
             broken = await asyncio.wait_for(play(cluster), 95)
@@ -524,14 +527,11 @@
         except asyncio.TimeoutError:
             cluster.record("could not run: time is up")
             return 2
-        except CannotRun as problem:
-            cluster.record("could not run:", problem)
-            print("could not run:", problem)
-            return 2
         finally:
             await cluster.stop()
     try:
-        sys.exit(asyncio.run(run()))
-    except (CannotRun, OSError) as problem:
-        print("could not run:", problem)
-        sys.exit(2)
+        status = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as problem:  # No verdict on the rule.
+        print("could not run:", type(problem).__name__, problem)
+        status = 2
+    sys.exit(status)
