--- a/review/3/case.py
+++ b/review/3/case.py
@@ -34,7 +34,7 @@
     other = next(h for h in cluster.hosts if h is not leader)
     parts, job_part = set(), []
 
-    # Learns which partitions exist, and in which one the job is stored.
+    # Learns which partitions are in use.
     def learn(method, path, query, body):
         part = part_of((path, query, body))
         if part:
@@ -58,6 +58,7 @@
             killed = True
             job_part.append(part)
             asyncio.get_running_loop().create_task(kill_when_stored())
+            return 0.0  # Done; the host is dead before an answer could reach it.
         if part == down and time.monotonic() < down_until:
             return 503
         return None
@@ -70,8 +71,8 @@
         store.forget_history()
 
     if TROUBLE:
-        # One of the partitions that hold jobs, other than the one of this job. Which one
-        # that is shows only when it is written; the name of a partition is not assumed.
+        # A partition that holds jobs. It must not be the one of the job above, which shows
+        # only when that job is written.
         holding = sorted({a[1] for a in store.rows if a[2].startswith("0000000000beef")
                           and a[1] in parts and a[0] not in ("ended", "progress")})
         if len(holding) < 2:
