Log when the scan of jobs reads them all

The scan of stored jobs is the only way to a job that no host has reported. When the store has dropped its history the scan reads all jobs instead, and nothing in the log said so, nor whether that read failed or where the next scan begins.

--- a/gypsumfall/scheduler/dispatch_service_jobs.cc
+++ b/gypsumfall/scheduler/dispatch_service_jobs.cc
@@ -37,10 +37,18 @@
         if (generation != generation_) return;
         job_scan_pending_ = false;
         if (page.outcome == StoreOutcome::kHistoryGone) {
+          log_.Info("the store has dropped changes of jobs; reading all jobs",
+                    {{"shard", scope_.id}, {"after", job_scan_version_}});
           job_scan_version_ = page.version;
           LoadJobRows(context_, scope_, kJobScanTimeout,
                       [this, generation, started](const LoadedRows& loaded) {
                         if (generation != generation_) return;
+                        log_.Info("read all jobs",
+                                  {{"shard", scope_.id},
+                                   {"outcome", StoreOutcomeName(loaded.outcome)},
+                                   {"rows", loaded.rows.size()},
+                                   {"version", loaded.version},
+                                   {"next_scan_after", job_scan_version_}});
                         if (loaded.outcome != StoreOutcome::kDone) return;
                         job_scan_version_ = loaded.version;
                         SubmitUnreportedJobs(loaded.rows);
