Read all jobs again if the full read of a scan fails

Cause: when the store has dropped its history, the scan of stored jobs moved its position to the newest version first and read the 16 partitions of the jobs afterwards. If one of these reads failed, the next scan began behind changes that nobody had read.

Evidence: three causes were possible: the scan does not see that the history is gone, its full read fails and the position moves all the same, or the row is read and skipped.

Change: the position moves only after all partitions are read; until then each scan finds again that the history is gone and reads them again. One full read at a time. Jobs of the partitions that could be read are scheduled at once, so that a partition that stays down delays only its own jobs.

Ruled out: to report a retried job that conflicts with the stored row. The caller's record may differ from the stored one, and a job that has ended and was removed would be reported again.

--- a/gypsumfall/scheduler/dispatch_service_jobs.cc
+++ b/gypsumfall/scheduler/dispatch_service_jobs.cc
@@ -35,27 +35,9 @@
       [this, generation = generation_,
        started = context_.Now()](const RowPage& page) {
         if (generation != generation_) return;
+        if (page.outcome == StoreOutcome::kHistoryGone)
+          return ReloadJobs(started);
         job_scan_pending_ = false;
-        if (page.outcome == StoreOutcome::kHistoryGone) {
-          log_.Info("the store has dropped changes of jobs; reading all jobs",
-                    {{"shard", scope_.id}, {"after", job_scan_version_}});
-          job_scan_version_ = page.version;
-          LoadJobRows(context_, scope_, kJobScanTimeout,
-                      [this, generation, started](const LoadedRows& loaded) {
-                        if (generation != generation_) return;
-                        log_.Info("read all jobs",
-                                  {{"shard", scope_.id},
-                                   {"outcome", StoreOutcomeName(loaded.outcome)},
-                                   {"rows", loaded.rows.size()},
-                                   {"version", loaded.version},
-                                   {"next_scan_after", job_scan_version_}});
-                        if (loaded.outcome != StoreOutcome::kDone) return;
-                        job_scan_version_ = loaded.version;
-                        SubmitUnreportedJobs(loaded.rows);
-                        dispatcher_->OnJobsScanned(started);
-                      });
-          return;
-        }
         if (page.outcome != StoreOutcome::kDone) return;
         job_scan_version_ = std::max(job_scan_version_, page.version);
         SubmitUnreportedJobs(page.rows);
@@ -63,6 +45,31 @@
       });
 }
 
+// Reads all jobs, because the store has dropped changes of them. The scan
+// continues behind these changes only after all jobs were read; otherwise the
+// next scan finds again that the changes are gone.
+void DispatchService::ReloadJobs(Time scan_started) {
+  log_.Info("the store has dropped changes of jobs; reading all jobs",
+            {{"shard", scope_.id}, {"after", job_scan_version_}});
+  LoadJobRows(
+      context_, scope_, kJobScanTimeout,
+      [this, generation = generation_, scan_started](const LoadedRows& loaded) {
+        if (generation != generation_) return;
+        job_scan_pending_ = false;
+        // A partition that cannot be read does not delay the jobs of
+        // the others.
+        SubmitUnreportedJobs(loaded.rows);
+        log_.Info("read all jobs",
+                  {{"shard", scope_.id},
+                   {"outcome", StoreOutcomeName(loaded.outcome)},
+                   {"rows", loaded.rows.size()},
+                   {"version", loaded.version}});
+        if (loaded.outcome != StoreOutcome::kDone) return;
+        job_scan_version_ = loaded.version;
+        dispatcher_->OnJobsScanned(scan_started);
+      });
+}
+
 void DispatchService::SubmitUnreportedJobs(const std::vector<StoredRow>& rows) {
   for (const StoredRow& row : rows) {
     if (row.removed || row.value.empty()) continue;
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -73,6 +73,7 @@
   void StoreRecords(Time now);
   void OnStored(const RecordBatch& batch);
   void ScanJobChanges();
+  void ReloadJobs(Time scan_started);
   void SubmitUnreportedJobs(const std::vector<StoredRow>& rows);
   void CancelSliced(const JobId& id, UniqueFunction<Result<bool>> done);
   void ReadSlicedJobChanges();
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -76,6 +76,12 @@
     history_start_[table] = RowVersion(++version_);
   }
 
+  /// Makes the next `count` reads of the partition fail.
+  void FailReads(const std::string& partition, int count) {
+    partition_with_failing_reads_ = partition;
+    remaining_read_failures_ = count;
+  }
+
   /// Number of rows that reads have returned so far.
   std::size_t rows_returned = 0;
 
@@ -175,6 +181,11 @@
   }
 
   RowPage Read(const RowRange& range) {
+    if (remaining_read_failures_ > 0 &&
+        range.partition == partition_with_failing_reads_) {
+      --remaining_read_failures_;
+      return {.outcome = StoreOutcome::kNotApplied, .rows = {}};
+    }
     RowPage page{.outcome = StoreOutcome::kDone,
                  .rows = {},
                  .version = RowVersion(version_)};
@@ -203,6 +214,8 @@
   Fault fault_ = Fault::kNone;
   int remaining_faults_ = 0;
   std::string table_with_faults_;
+  int remaining_read_failures_ = 0;
+  std::string partition_with_failing_reads_;
 };
 
 inline RowAddress ConfigAddress() { return {"op", "", "config"}; }
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -79,21 +79,51 @@
   CHECK(d.first->SendRequest(HttpMethod::kPost, "/job1").status == 504);
 }
 
+// Stores a job of which the leader is not told.
+void StoreUnreportedJob(FakeStore& store, const JobId& id) {
+  JobRecord record{.id = id, .queue = QueueId("q")};
+  record.terms.service = ServiceId("desk");
+  record.spec.steps.push_back({.task_count = 1});
+  store.Put(JobAddress(OnlyShard(), id), Encode(record));
+}
+
 TEST_CASE("unknown jobs are distinguished from jobs not reported yet") {
   Deployment d;
   CHECK(d.first->SendRequest(HttpMethod::kGet, "/none").status == 410);
   CHECK(d.first->SendRequest(HttpMethod::kDelete, "/none").status == 410);
   // A job whose report to the leader was lost.
-  JobRecord record{.id = JobId("unheard"), .queue = QueueId("q")};
-  record.terms.service = ServiceId("desk");
-  record.spec.steps.push_back({.task_count = 1});
-  d.store.Put(JobAddress(OnlyShard(), record.id), Encode(record));
+  StoreUnreportedJob(d.store, JobId("unheard"));
   CHECK(d.first->SendRequest(HttpMethod::kGet, "/unheard").status == 200);
   while (d.first->SendRequest(HttpMethod::kGet, "/unheard").body !=
          StateText(JobState::kCompleted)) {
   }
 }
 
+// Guards against an accepted job that is never found, because the scan of the
+// stored jobs moved on although its full read had failed.
+TEST_CASE("a job is found after a scan without history that failed") {
+  Deployment d;
+  const JobId id("unheard");
+  const std::string own_partition = JobAddress(OnlyShard(), id).partition;
+  const std::string other_partition =
+      JobAddress(OnlyShard(), JobId("another")).partition;
+  REQUIRE(own_partition != other_partition);
+  SECTION("because the partition of the job was down") {
+    d.store.FailReads(own_partition, 2);
+  }
+  SECTION("because another partition is down for long") {
+    d.store.FailReads(other_partition, 1'000'000);
+  }
+  StoreUnreportedJob(d.store, id);
+  d.store.DropHistory(OnlyShard().job_table);
+  const auto deadline = std::chrono::steady_clock::now() + seconds(10);
+  d.first->RunUntil([&] {
+    return d.workers.starts.contains(TaskOf(id, 0)) ||
+           std::chrono::steady_clock::now() > deadline;
+  });
+  CHECK(d.workers.starts.contains(TaskOf(id, 0)));
+}
+
 // Guards against reads that also return the rows after the job's row, which
 // took seconds on the network link of a small host.
 TEST_CASE("a query for a job that the leader does not know reads one row") {
