Store the progress of a job in rows of limited size

Cause: the progress of a job was one row with an entry for each step of each occurrence that had begun. It outgrew the 64 KiB of a row of the store, which refused each transaction of the leader from then on. The next leader read the same progress, heard of the same ends and built the same row.

Evidence: the regression test, with a fake store that has the limits of the real one, logged "failed to store the scheduler's rows; retrying" with one row and the lease row, and neither the periodic job nor a later one ended in 20 s. The store was up, and no other host had written the leader row, which rules out an outage and a lost election.

Change: the row of a job holds a bit for each completed occurrence, 2.5 KB at the most that a job may repeat. The tasks of open occurrences are stored in chunks of consecutive tasks, a row each. The size of a chunk follows from the attempts that the contract allows a task, so that a row has at most 8 KiB with all run numbers of failures, and 90 rows stay below the megabyte of a call. Only changed chunks are written. Rows of completed occurrences and of ended jobs are removed after what replaces them is stored. Each row has its own sequence number, so that an end is acknowledged once its own row is stored. At most 128 run numbers of failures are kept for a task; older ones are counted.

Rows of the previous version are still read: their steps are stored as chunks before the row is replaced. A gang whose members are in several chunks is done if one member is stored as done, since one end stands for all.

Tests: "a job with many occurrences does not stop the others" failed before and passes.

--- a/gypsumfall/base/base.h
+++ b/gypsumfall/base/base.h
@@ -3,7 +3,8 @@
 
 /// @file
 /// Basic types shared by all libraries: strongly typed ids and numbers, units,
-/// time, hashes, secrets, log levels and the closed set of error kinds.
+/// time, sets of small numbers, hashes, secrets, log levels and the closed set
+/// of error kinds.
 ///
 /// Example:
 /// @code
@@ -15,6 +16,7 @@
 ///   }
 /// @endcode
 
+#include "gypsumfall/base/internal/bit_set.h"
 #include "gypsumfall/base/internal/error.h"
 #include "gypsumfall/base/internal/hash.h"
 #include "gypsumfall/base/internal/ids.h"
--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -11,9 +11,6 @@
 
 // Events kept until they are taken; further ones are dropped.
 constexpr std::size_t kMaxEvents = 4096;
-// Rows of a batch that one ended job needs: its state and its removed progress.
-constexpr std::size_t kRowsPerEndedJob = 2;
-
 // Moves the first elements of a queue, at most `limit`, to a vector.
 // @return the number of moved elements.
 template <typename T>
@@ -69,7 +66,38 @@
 }
 
 void Dispatcher::RestoreProgress(const JobProgress& progress) {
+  Job* job = jobs_.Find(progress.id);
+  if (job == nullptr) return;
+  if (IsFinal(job->state)) {
+    obsolete_rows_.push_back({.job = progress.id});
+    return;
+  }
   jobs_.Restore(progress);
+  if (progress.steps.empty()) return;
+  // Written by an earlier version: its steps are stored as chunks before the
+  // row is replaced by one without them.
+  for (const StepProgress& step : progress.steps) {
+    const auto k = static_cast<std::size_t>(step.occurrence);
+    if (k >= job->occurrences.size() || job->completed[k]) continue;
+    std::vector<ProgressRow>& chunks = job->occurrences[k].chunks;
+    for (std::size_t chunk = 0; chunk < chunks.size(); ++chunk) {
+      QueueRow(chunks[chunk], {.job = progress.id,
+                               .occurrence = step.occurrence,
+                               .chunk = static_cast<int>(chunk)});
+    }
+  }
+  QueueJobRow(*job);
+}
+
+void Dispatcher::RestoreProgress(const ChunkProgress& progress) {
+  const Job* job = jobs_.Find(progress.row.job);
+  if (job == nullptr) return;
+  const auto k = static_cast<std::size_t>(progress.row.occurrence);
+  if (IsFinal(job->state) || (k < job->completed.size() && job->completed[k])) {
+    obsolete_rows_.push_back(progress.row);
+  } else {
+    jobs_.Restore(progress);
+  }
 }
 
 void Dispatcher::RestoreRoster(const std::vector<RosterEntry>& roster,
@@ -100,19 +128,39 @@
   return true;
 }
 
-void Dispatcher::QueueForRecording(Job& job) {
-  if (job.record_pending) return;
-  job.record_pending = true;
-  job.record_sequence = next_record_sequence_++;
-  jobs_to_record_.push_back(job.record.id);
+std::uint64_t Dispatcher::QueueRow(ProgressRow& row, const ProgressRowId& id) {
+  if (!row.pending) {
+    row.pending = true;
+    row.sequence = next_record_sequence_++;
+    rows_to_record_.push_back({id, row.sequence});
+  }
+  return row.sequence;
+}
+
+std::uint64_t Dispatcher::QueueJobRow(Job& job) {
+  return QueueRow(job.row, {.job = job.record.id});
+}
+
+std::uint64_t Dispatcher::QueueChunkOf(Job& job, const TaskName& name) {
+  return QueueRow(job.RowOf(name), {.job = name.job,
+                                    .occurrence = name.occurrence,
+                                    .chunk = job.ChunkOf(name)});
+}
+
+std::uint64_t Dispatcher::SequenceOf(Job& job, const TaskName& name) {
+  if (IsFinal(job.state) || job.IsCompleted(name.occurrence))
+    return job.row.sequence;
+  return job.RowOf(name).sequence;
 }
 
 void Dispatcher::EndJob(Job& job, JobState state, Time now, WallTime wall_now) {
   job.state = state;
   job.ended_at = wall_now;
+  for (std::size_t k = 0; k < job.occurrences.size(); ++k)
+    MakeChunksObsolete(job, static_cast<int>(k));
   if (job.slice.IsWhole()) {
     ++unstored_ended_jobs_;
-    QueueForRecording(job);
+    QueueJobRow(job);
   } else {
     job.visible_state = state;
     RemoveTransfersOf(job.record.id);
@@ -179,9 +227,9 @@
 }
 
 bool Dispatcher::HasRecords() const {
-  return !jobs_to_record_.empty() || !expired_jobs_.empty() ||
-         !transfers_to_record_.empty() || !transfers_to_remove_.empty() ||
-         roster_changed_;
+  return !rows_to_record_.empty() || !obsolete_rows_.empty() ||
+         !expired_jobs_.empty() || !transfers_to_record_.empty() ||
+         !transfers_to_remove_.empty() || roster_changed_;
 }
 
 std::vector<JobId> Dispatcher::TakeExpired(std::size_t limit,
@@ -210,22 +258,46 @@
   rows += MoveUpTo(limit - rows, transfers_to_record_, batch.transfers);
   rows +=
       MoveUpTo(limit - rows, transfers_to_remove_, batch.obsolete_transfers);
-  while (!jobs_to_record_.empty() && rows + kRowsPerEndedJob <= limit) {
-    const JobId id = jobs_to_record_.front();
-    jobs_to_record_.pop_front();
-    Job* job = jobs_.Find(id);
-    if (job == nullptr) continue;
-    job->record_pending = false;
-    batch.last_record_sequence = job->record_sequence;
-    const bool ended = IsFinal(job->state);
-    auto& target = ended ? batch.ended : batch.progress;
-    target.push_back(JobTable::ProgressOf(*job));
-    rows += ended ? kRowsPerEndedJob : 1;
+  while (!rows_to_record_.empty() && rows < limit) {
+    const QueuedRow row = std::move(rows_to_record_.front());
+    rows_to_record_.pop_front();
+    batch.last_record_sequence = row.sequence;
+    if (Job* job = jobs_.Find(row.id.job)) rows += TakeRow(*job, row.id, batch);
   }
-  if (rows < limit) MoveUpTo(limit - rows, expired_jobs_, batch.expired);
+  rows += MoveUpTo(limit - rows, obsolete_rows_, batch.obsolete_progress);
+  MoveUpTo(limit - rows, expired_jobs_, batch.expired);
   return batch;
 }
 
+std::size_t Dispatcher::TakeRow(Job& job, const ProgressRowId& id,
+                                RecordBatch& batch) {
+  // The row of the job replaces those of chunks whose tasks are all done.
+  const bool replaced = id.occurrence == ProgressRowId::kWholeJob ||
+                        IsFinal(job.state) || job.IsCompleted(id.occurrence);
+  ProgressRow& row =
+      replaced ? job.row
+               : job.occurrences[static_cast<std::size_t>(id.occurrence)]
+                     .chunks[static_cast<std::size_t>(id.chunk)];
+  if (!row.pending) return 0;
+  row.pending = false;
+  if (!replaced) {
+    row.stored = true;
+    batch.chunk_progress.push_back(JobTable::ProgressOf(job, id));
+    return 1;
+  }
+  if (IsFinal(job.state)) {
+    if (row.stored) job.obsolete_rows.push_back({.job = job.record.id});
+    batch.ended.push_back(JobTable::ProgressOf(job));
+  } else {
+    row.stored = true;
+    batch.progress.push_back(JobTable::ProgressOf(job));
+  }
+  obsolete_rows_.insert(obsolete_rows_.end(), job.obsolete_rows.begin(),
+                        job.obsolete_rows.end());
+  job.obsolete_rows.clear();
+  return 1;
+}
+
 std::vector<JobId> Dispatcher::OnRecorded(const RecordBatch& batch) {
   std::vector<JobId> newly_visible;
   for (const JobProgress& ended : batch.ended) {
@@ -351,7 +423,7 @@
   std::ostringstream out;
   out << "epoch " << epoch_ << ", jobs " << jobs_.size() << ", workers "
       << workers_.size() << ", steps with ready tasks " << ready_steps_.size()
-      << ", records waiting " << jobs_to_record_.size() << "\n";
+      << ", records waiting " << rows_to_record_.size() << "\n";
   for (const auto& [id, worker] : workers_) {
     out << "worker " << id << " runs " << worker.runs.size() << " used "
         << worker.used.ToString() << " of " << worker.entry.capacity.ToString()
--- a/gypsumfall/dispatch/dispatcher_completions.cc
+++ b/gypsumfall/dispatch/dispatcher_completions.cc
@@ -178,12 +178,13 @@
       LearnRunTime(*job, bound->second, now);
     UnbindRun(worker, end.task);
   }
-  Task* task = jobs_.FindTask(end.task);
-  if (job == nullptr || task == nullptr) return 0;
+  if (job == nullptr) return 0;
   // The final state may not be stored yet. A successor that knows neither it
   // nor this end would start the task again.
-  if (IsFinal(job->state)) return job->record_sequence;
-  if (task->phase == TaskPhase::kDone) return job->record_sequence;
+  if (IsFinal(job->state)) return job->row.sequence;
+  Task* task = jobs_.FindTask(end.task);
+  if (task == nullptr) return 0;
+  if (task->phase == TaskPhase::kDone) return SequenceOf(*job, end.task);
   if (!end.checkpoint.empty() && end.run.value() >= task->last_run) {
     task->checkpoint = end.checkpoint;
   }
@@ -204,16 +205,13 @@
       MarkTaskDone(*job, end.task, *task);
     }
     AdvanceJob(*job, end.task, now, wall_now);
-    return job->record_sequence;
+    return SequenceOf(*job, end.task);
   }
   if (end.end == RunOutcome::kFailed) {
     CountFailure(worker, now);
     // Completions of two workers may be reported in any order.
-    const auto& counted = task->failed_runs;
-    if (!long_running && std::find(counted.begin(), counted.end(),
-                                   end.run.value()) == counted.end()) {
-      CountTaskFailure(*job, end.task, *task, end.run, worker.entry.id);
-    }
+    if (!long_running && task->CountFailure(end.run.value()))
+      RecordTaskFailure(*job, end.task, *task, end.run, worker.entry.id);
   }
   if (!bound_elsewhere) Requeue(end.task, confirmed_at, now, now);
   if (was_bound && end.end == RunOutcome::kFailed &&
@@ -221,12 +219,9 @@
     AvoidWorker(end.task, worker);
   }
   if (was_bound) KeepPlace(worker, end.task, now);
-  if (static_cast<int>(task->failed_runs.size()) >=
-          job->record.terms.max_attempts &&
-      !long_running) {
+  if (task->failures() >= job->record.terms.max_attempts && !long_running)
     EndJob(*job, JobState::kFailed, now, wall_now);
-  }
-  return job->record_sequence;
+  return SequenceOf(*job, end.task);
 }
 
 void Dispatcher::LearnRunTime(const Job& job, const Run& run, Time now) {
@@ -243,7 +238,7 @@
 void Dispatcher::MarkTaskDone(Job& job, const TaskName& name, Task& task) {
   task.phase = TaskPhase::kDone;
   ++StepOf(job, name).done;
-  QueueForRecording(job);
+  QueueChunkOf(job, name);
 }
 
 void Dispatcher::MarkGangDone(Job& job, const TaskName& name) {
@@ -256,15 +251,14 @@
   }
 }
 
-void Dispatcher::CountTaskFailure(Job& job, const TaskName& name, Task& task,
-                                  RunNumber run, const WorkerId& worker) {
-  task.failed_runs.push_back(run.value());
+void Dispatcher::RecordTaskFailure(Job& job, const TaskName& name, Task& task,
+                                   RunNumber run, const WorkerId& worker) {
   task.failed_on = {worker};
   AddRoutineEvent("task attempt failed", name, run, worker,
-                  std::to_string(task.failed_runs.size()) + " of " +
+                  std::to_string(task.failures()) + " of " +
                       std::to_string(job.record.terms.max_attempts) +
                       " attempts");
-  QueueForRecording(job);
+  QueueChunkOf(job, name);
 }
 
 void Dispatcher::AdvanceJob(Job& job, const TaskName& name, Time now,
@@ -278,9 +272,25 @@
     UnblockSteps(job, now);
     return;
   }
-  ++job.occurrences_done;
-  if (job.occurrences_done == static_cast<int>(job.occurrences.size())) {
-    EndJob(job, JobState::kCompleted, now, wall_now);
+  CompleteOccurrence(job, name.occurrence);
+  if (job.completed.all()) EndJob(job, JobState::kCompleted, now, wall_now);
+}
+
+void Dispatcher::CompleteOccurrence(Job& job, int occurrence) {
+  job.completed.set(static_cast<std::size_t>(occurrence));
+  MakeChunksObsolete(job, occurrence);
+  QueueJobRow(job);
+}
+
+// Has the rows of the chunks removed after the row of the job is stored.
+void Dispatcher::MakeChunksObsolete(Job& job, int occurrence) {
+  std::vector<ProgressRow>& chunks =
+      job.occurrences[static_cast<std::size_t>(occurrence)].chunks;
+  for (std::size_t i = 0; i < chunks.size(); ++i) {
+    if (!std::exchange(chunks[i].stored, false)) continue;
+    job.obsolete_rows.push_back({.job = job.record.id,
+                                 .occurrence = occurrence,
+                                 .chunk = static_cast<int>(i)});
   }
 }
 
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -39,10 +39,13 @@
 struct RecordBatch {
   /// Sequence number of the last record in the batch.
   std::uint64_t last_record_sequence = 0;
-  /// Progress of jobs that have not ended.
+  /// Progress of jobs that have not ended, and of their tasks.
   std::vector<JobProgress> progress;
+  std::vector<ChunkProgress> chunk_progress;
   /// Jobs that have reached a final state.
   std::vector<JobProgress> ended;
+  /// Rows with progress that are no longer needed.
+  std::vector<ProgressRowId> obsolete_progress;
   /// Jobs whose records are removed and whose final states are to be removed.
   std::vector<JobId> expired;
   /// Tasks given to other shards, and tasks whose transfers by this shard are
@@ -55,8 +58,9 @@
   std::vector<RosterEntry> roster;
 
   bool empty() const {
-    return progress.empty() && ended.empty() && expired.empty() &&
-           transfers.empty() && obsolete_transfers.empty() && !roster_changed;
+    return progress.empty() && chunk_progress.empty() && ended.empty() &&
+           obsolete_progress.empty() && expired.empty() && transfers.empty() &&
+           obsolete_transfers.empty() && !roster_changed;
   }
 };
 
@@ -102,11 +106,12 @@
   Dispatcher(const DispatchSettings& settings, Epoch epoch, Time now);
 
   /// Restores state that earlier epochs have stored. Must be called before any
-  /// other input.
+  /// other input, and in this order.
+  void RestoreEnded(const JobProgress& progress) { jobs_.AddEnded(progress); }
   void RestoreJob(JobRecord record, Time now, WallTime wall_now,
                   JobSlice slice = {});
   void RestoreProgress(const JobProgress& progress);
-  void RestoreEnded(const JobProgress& progress) { jobs_.AddEnded(progress); }
+  void RestoreProgress(const ChunkProgress& progress);
   void RestoreRoster(const std::vector<RosterEntry>& roster, Time now);
   /// Restores a transfer that this shard has stored. Must be called after the
   /// jobs are restored; the transfer is removed if its job is not among them.
@@ -217,6 +222,7 @@
   using Job = dispatch_internal::Job;
   using Occurrence = dispatch_internal::Occurrence;
   using PlacementRequest = dispatch_internal::PlacementRequest;
+  using ProgressRow = dispatch_internal::ProgressRow;
   using Run = dispatch_internal::Run;
   using RunPhase = dispatch_internal::RunPhase;
   using Step = dispatch_internal::Step;
@@ -239,11 +245,23 @@
   void MakeReady(const TaskName& name, Task& task, Time now);
   void MarkTaskDone(Job& job, const TaskName& name, Task& task);
   void MarkGangDone(Job& job, const TaskName& name);
-  void CountTaskFailure(Job& job, const TaskName& name, Task& task,
-                        RunNumber run, const WorkerId& worker);
+  void RecordTaskFailure(Job& job, const TaskName& name, Task& task,
+                         RunNumber run, const WorkerId& worker);
+  void CompleteOccurrence(Job& job, int occurrence);
+  void MakeChunksObsolete(Job& job, int occurrence);
   void AdvanceJob(Job& job, const TaskName& name, Time now, WallTime wall_now);
   void EndJob(Job& job, JobState state, Time now, WallTime wall_now);
-  void QueueForRecording(Job& job);
+  /// Queue a row for the next batch of records, unless it is queued.
+  /// @return the sequence number of its record.
+  std::uint64_t QueueRow(ProgressRow& row, const ProgressRowId& id);
+  std::uint64_t QueueJobRow(Job& job);
+  std::uint64_t QueueChunkOf(Job& job, const TaskName& name);
+  /// @return the sequence number of the record to store before an end of a run
+  ///   of the task is acknowledged.
+  static std::uint64_t SequenceOf(Job& job, const TaskName& name);
+  /// Adds the row to the batch if it has changed since it was taken last.
+  /// @return the number of rows added.
+  std::size_t TakeRow(Job& job, const ProgressRowId& id, RecordBatch& batch);
 
   // Runs and their completions.
   Step& StepOf(Job& job, const TaskName& name);
@@ -409,7 +427,14 @@
 
   std::uint64_t next_record_sequence_ = 1;
   std::uint64_t stored_record_sequence_ = 0;
-  std::deque<JobId> jobs_to_record_;
+  /// Rows to store, in the order of their sequence numbers.
+  struct QueuedRow {
+    ProgressRowId id;
+    std::uint64_t sequence = 0;
+  };
+  std::deque<QueuedRow> rows_to_record_;
+  /// Rows to remove. What replaces them has been taken for an earlier batch.
+  std::deque<ProgressRowId> obsolete_rows_;
   /// Expired jobs whose records are removed.
   std::deque<JobId> expired_jobs_;
   std::deque<TaskTransfer> transfers_to_record_;
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -34,9 +34,11 @@
 /// State of one task.
 struct Task {
   TaskPhase phase = TaskPhase::kBlocked;
-  /// Numbers of the runs that failed; a completion that is reported again
-  /// counts once.
+  /// Numbers of the latest runs that failed; a completion that is reported
+  /// again counts once.
   std::vector<std::uint64_t> failed_runs;
+  /// Number of failed runs before these.
+  int forgotten_failures = 0;
   /// Highest run number that was used or may have been used.
   std::uint64_t last_run = 0;
   Checkpoint checkpoint;
@@ -56,6 +58,12 @@
   /// Number of the latest known transfer of the task; 0 if there is none.
   std::uint64_t transfer_number = 0;
 
+  int failures() const {
+    return forgotten_failures + static_cast<int>(failed_runs.size());
+  }
+  /// Counts the failure of a run, unless it is counted already.
+  /// @return whether it was not counted yet.
+  bool CountFailure(std::uint64_t run);
   std::ptrdiff_t CountFailuresOn(const WorkerId& worker) const {
     return std::count(failed_on.begin(), failed_on.end(), worker);
   }
@@ -84,11 +92,24 @@
   std::unordered_map<WorkerId, int> runs_per_worker;
 };
 
+/// State of a row with progress.
+struct ProgressRow {
+  /// The row may be in the store.
+  bool stored = false;
+  /// Queued for a batch of records.
+  bool pending = false;
+  /// Sequence number of the latest record of the row. The record is stored once
+  /// the stored sequence number has reached it.
+  std::uint64_t sequence = 0;
+};
+
 /// State of one repetition of a job.
 struct Occurrence {
   Time due{};
   int steps_done = 0;
   std::vector<Step> steps;
+  /// Rows with the progress of the tasks, by number of the chunk.
+  std::vector<ProgressRow> chunks;
 };
 
 /// A job with the state of its tasks.
@@ -110,14 +131,21 @@
   WallTime ended_at{0};
   /// The removal of its record has been requested.
   bool expired = false;
-  /// Queued for the next batch of records.
-  bool record_pending = false;
-  /// Sequence number of the latest record of the job. The record is stored once
-  /// the stored sequence number has reached it.
-  std::uint64_t record_sequence = 0;
+  /// Row with the completed occurrences or the final state.
+  ProgressRow row;
+  /// Rows to remove once `row` is stored.
+  std::vector<ProgressRowId> obsolete_rows;
   std::vector<Occurrence> occurrences;
-  int occurrences_done = 0;
+  /// Occurrences of which all steps are done.
+  BitSet completed;
 
+  bool IsCompleted(int occurrence) const {
+    return completed[static_cast<std::size_t>(occurrence)];
+  }
+  /// @return the number of the chunk with the task.
+  int ChunkOf(const TaskName& name) const;
+  /// @return the row with the progress of the task.
+  ProgressRow& RowOf(const TaskName& name);
   const StepSpec& spec_of(const TaskName& name) const {
     return record.spec.steps[static_cast<std::size_t>(name.step)];
   }
@@ -130,8 +158,10 @@
   /// @param slice tasks to run; the others are excluded.
   /// @return the job, or null if its id is already in the table.
   Job* Add(JobRecord record, JobSlice slice, Time now, WallTime wall_now);
-  /// Applies stored progress to a job that was added before.
+  /// Apply stored progress to a job that was added before. The progress of
+  /// chunks must be applied after that of jobs.
   void Restore(const JobProgress& progress);
+  void Restore(const ChunkProgress& progress);
   /// Adds a job that ended in an earlier epoch.
   void AddEnded(const JobProgress& progress);
 
@@ -140,8 +170,10 @@
   /// @return the task, or null if the job or the task does not exist.
   Task* FindTask(const TaskName& name);
 
-  /// @return the progress of a job in the form in which it is stored.
+  /// @return the progress of a job, or of a chunk of its tasks, in the form in
+  ///   which it is stored.
   static JobProgress ProgressOf(const Job& job);
+  static ChunkProgress ProgressOf(const Job& job, const ProgressRowId& row);
   /// @return the number of accepted jobs of a queue of which no task has
   ///   started.
   std::uint64_t CountWaiting(const QueueId& queue) const;
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -159,6 +159,9 @@
         DispatchSettings{.shard = shard_,
                          .predecessor_slack = predecessor_slack},
         epoch, now_);
+    for (const auto& [id, ended] : stored_ended_) {
+      dispatcher_->RestoreEnded(ended);
+    }
     for (const auto& [id, record] : stored_jobs_) {
       if (!stored_ended_.contains(id) && !unread_jobs.contains(id) &&
           !cancelled_slices.contains(id)) {
@@ -168,11 +171,11 @@
     for (const auto& [name, transfer] : stored_transfers) {
       dispatcher_->RestoreTransfer(transfer, now_);
     }
-    for (const auto& [id, progress] : stored_progress_) {
-      if (!stored_ended_.contains(id)) dispatcher_->RestoreProgress(progress);
+    for (const auto& [id, progress] : stored_progress) {
+      dispatcher_->RestoreProgress(progress);
     }
-    for (const auto& [id, ended] : stored_ended_) {
-      dispatcher_->RestoreEnded(ended);
+    for (const auto& [id, progress] : stored_chunks) {
+      dispatcher_->RestoreProgress(progress);
     }
     dispatcher_->RestoreRoster(stored_roster_, now_);
     for (const auto& [id, worker] : workers_) {
@@ -257,6 +260,9 @@
   std::set<JobId> cancelled_slices;
   /// Transfers that this shard has stored and not removed.
   std::map<TaskName, TaskTransfer> stored_transfers;
+  /// Rows with progress.
+  std::map<JobId, JobProgress> stored_progress;
+  std::map<ProgressRowId, ChunkProgress> stored_chunks;
   /// Called with each transfer that this shard stores.
   std::function<void(const TaskTransfer&)> on_transfer_stored;
 
@@ -266,7 +272,17 @@
     if (!dispatcher_->HasRecords()) return;
     const RecordBatch batch = dispatcher_->TakeRecords(90);
     for (const JobProgress& job_progress : batch.progress) {
-      stored_progress_[job_progress.id] = job_progress;
+      stored_progress[job_progress.id] = job_progress;
+    }
+    for (const ChunkProgress& chunk : batch.chunk_progress) {
+      stored_chunks[chunk.row] = chunk;
+    }
+    for (const ProgressRowId& row : batch.obsolete_progress) {
+      if (row.occurrence == ProgressRowId::kWholeJob) {
+        stored_progress.erase(row.job);
+      } else {
+        stored_chunks.erase(row);
+      }
     }
     for (const JobProgress& job_progress : batch.ended)
       stored_ended_[job_progress.id] = job_progress;
@@ -478,7 +494,6 @@
   std::vector<std::pair<LeaseOrder, Time>> open_lease_calls_;
   std::map<JobId, JobRecord> stored_jobs_;
   std::map<JobId, JobSlice> slices_;
-  std::map<JobId, JobProgress> stored_progress_;
   std::map<JobId, JobProgress> stored_ended_;
   std::vector<RosterEntry> stored_roster_;
 };
--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -42,7 +42,8 @@
   JobSpec spec;
 };
 
-/// Stored progress of one step of one occurrence.
+/// Stored progress of one step of one occurrence, in the form of earlier
+/// versions, which stored all progress of a job in one row.
 struct StepProgress {
   int occurrence = 0;
   int step = 0;
@@ -53,6 +54,46 @@
   std::vector<std::vector<std::uint64_t>> failed_runs;
 };
 
+/// Identifies a row with progress of a job.
+struct ProgressRowId {
+  /// Stands for the row with the `JobProgress`; the other rows hold a
+  /// `ChunkProgress`.
+  static constexpr int kWholeJob = -1;
+
+  JobId job;
+  int occurrence = kWholeJob;
+  int chunk = 0;
+
+  friend auto operator<=>(const ProgressRowId&, const ProgressRowId&) = default;
+};
+
+/// The failed runs of a task.
+struct TaskFailures {
+  /// Number of the task in its chunk.
+  int task = 0;
+  /// Number of failed runs whose numbers are no longer known.
+  int forgotten = 0;
+  std::vector<std::uint64_t> runs;
+};
+
+/// Stored progress of a chunk, which consists of `TasksPerChunk` consecutive
+/// tasks of one occurrence. The tasks of all steps are counted together. The
+/// row is limited in size, whatever the job is like.
+struct ChunkProgress {
+  ProgressRowId row;
+  /// Tasks of the chunk that are done.
+  BitSet done;
+  std::vector<TaskFailures> failures;
+};
+
+/// Failed runs of a task of which the numbers are kept.
+inline constexpr std::size_t kMaxFailedRuns = 128;
+
+/// @return the number of tasks in a chunk, for which the row with their
+///   progress is small enough that a full batch of such rows fits in one
+///   transaction.
+int TasksPerChunk(const JobTerms& terms);
+
 /// Stored progress of a job. With a final state it replaces the record of the
 /// job.
 struct JobProgress {
@@ -61,7 +102,10 @@
   JobState state = JobState::kQueued;
   /// Time at which the job reached its final state; 0 before.
   WallTime ended_at{0};
+  /// Progress in the form of earlier versions.
   std::vector<StepProgress> steps;
+  /// Occurrences of which all tasks are done. Their chunks have no rows.
+  BitSet completed;
 };
 
 /// Moves a task of a sliced job to another shard. The shard that gives the task
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -94,6 +94,26 @@
   OptionalField(visit, "failed_runs", step.failed_runs);
 }
 
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<TaskFailures> auto& failures) {
+  OptionalField(visit, "task", failures.task);
+  OptionalField(visit, "forgotten", failures.forgotten);
+  visit("runs", failures.runs);
+}
+
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<ChunkProgress> auto& progress) {
+  visit("id", progress.row.job);
+  visit("occurrence", progress.row.occurrence);
+  OptionalField(visit, "chunk", progress.row.chunk);
+  OptionalField(visit, "done", progress.done);
+  if constexpr (std::is_same_v<Visitor, protocol_internal::JsonWriter>) {
+    if (!progress.failures.empty()) visit("failures", progress.failures);
+  } else {
+    visit.WithDefault("failures", progress.failures);
+  }
+}
+
 template <typename Visitor>
 void Fields(Visitor& visit, MaybeConst<JobProgress> auto& progress) {
   visit("id", progress.id);
@@ -105,6 +125,7 @@
   } else {
     visit.WithDefault("steps", progress.steps);
   }
+  OptionalField(visit, "completed", progress.completed);
 }
 
 template <typename Visitor>
@@ -186,6 +207,7 @@
 
 template std::string Encode(const JobRecord&);
 template std::string Encode(const JobProgress&);
+template std::string Encode(const ChunkProgress&);
 template std::string Encode(const TaskTransfer&);
 template std::string Encode(const ReservePlacesRequest&);
 template std::string Encode(const ReservePlacesReply&);
@@ -198,6 +220,7 @@
 template std::string Encode(const QueueQuery&);
 template Result<JobRecord> Decode(std::string_view);
 template Result<JobProgress> Decode(std::string_view);
+template Result<ChunkProgress> Decode(std::string_view);
 template Result<TaskTransfer> Decode(std::string_view);
 template Result<ReservePlacesRequest> Decode(std::string_view);
 template Result<ReservePlacesReply> Decode(std::string_view);
--- a/gypsumfall/jobs/job_rules.cc
+++ b/gypsumfall/jobs/job_rules.cc
@@ -7,6 +7,15 @@
 namespace gypsumfall {
 namespace {
 
+// Bytes of a row with the progress of a chunk. Base64 included, a full batch of
+// such rows is below the megabyte that the store accepts in one transaction.
+constexpr int kMaxChunkBytes = 8 * 1024;
+// Upper bounds of the bytes that a row needs for its names and ids, for a task
+// with failed runs, and for the number of one such run.
+constexpr int kRowOverheadBytes = 160;
+constexpr int kTaskFailuresBytes = 64;
+constexpr int kRunNumberBytes = 21;
+
 Result<void> ValidateStep(const StepSpec& step, int index) {
   const std::string name = "step " + std::to_string(index);
   if (step.task_count < 1 || step.task_count > kMaxTasksPerStep) {
@@ -52,6 +61,14 @@
   return {};
 }
 
+int TasksPerChunk(const JobTerms& terms) {
+  // A job ends with the last of the failures.
+  const int runs =
+      std::clamp(terms.max_attempts - 1, 0, static_cast<int>(kMaxFailedRuns));
+  return (kMaxChunkBytes - kRowOverheadBytes) /
+         (kTaskFailuresBytes + runs * kRunNumberBytes);
+}
+
 bool IsSliceable(const JobSpec& spec) {
   return std::all_of(
       spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) {
--- a/gypsumfall/protocol/internal/json_reader.h
+++ b/gypsumfall/protocol/internal/json_reader.h
@@ -46,6 +46,7 @@
   void Read(const boost::json::value& value, const JsonPath& path,
             WorkerTime& out);
   void Read(const boost::json::value& value, const JsonPath& path, double& out);
+  void Read(const boost::json::value& value, const JsonPath& path, BitSet& out);
 
   /// Reads an integer from 0 to the maximum of T; no message has negative
   /// integers.
--- a/gypsumfall/protocol/internal/json_writer.h
+++ b/gypsumfall/protocol/internal/json_writer.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +20,9 @@
 template <typename Enum>
 struct EnumNames;
 
+/// Bits for which a hexadecimal digit of a `BitSet` stands.
+inline constexpr std::size_t kBitsPerDigit = 4;
+
 /// Visits the fields of a message and appends them as JSON text.
 class JsonWriter {
  public:
@@ -45,6 +49,7 @@
 
   void Value(bool value) { out_ += value ? "true" : "false"; }
   void Value(const std::string& value);
+  void Value(const BitSet& bits);
   template <std::integral T>
   requires(!std::same_as<T, bool>) void Value(T value) {
     out_ += std::to_string(value);
--- a/gypsumfall/protocol/json_reader.cc
+++ b/gypsumfall/protocol/json_reader.cc
@@ -1,6 +1,7 @@
 #include "gypsumfall/protocol/internal/json_reader.h"
 
 #include <boost/json/string.hpp>
+#include <charconv>
 #include <string>
 
 namespace gypsumfall::protocol_internal {
@@ -58,6 +59,23 @@
   out = value.to_number<double>();
 }
 
+void JsonDecoder::Read(const boost::json::value& value, const JsonPath& path,
+                       BitSet& out) {
+  std::string text;
+  Read(value, path, text);
+  out.clear();
+  for (const char digit : text) {
+    unsigned bits = 0;
+    const auto [rest, error] = std::from_chars(&digit, &digit + 1, bits, 16);
+    if (error != std::errc()) {
+      Fail(path, "must consist of hexadecimal digits");
+      return;
+    }
+    for (std::size_t bit = 0; bit < kBitsPerDigit; ++bit)
+      out.push_back((bits >> bit & 1U) != 0);
+  }
+}
+
 std::uint64_t JsonDecoder::Number(const boost::json::value& value,
                                   const JsonPath& path,
                                   std::uint64_t max_value) {
--- a/gypsumfall/protocol/json_writer.cc
+++ b/gypsumfall/protocol/json_writer.cc
@@ -28,4 +28,19 @@
   out_ += '"';
 }
 
+void JsonWriter::Value(const BitSet& bits) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text((bits.size() + kBitsPerDigit - 1) / kBitsPerDigit, '0');
+  for (std::size_t digit = 0; digit < text.size(); ++digit) {
+    std::size_t value = 0;
+    for (std::size_t bit = 0; bit < kBitsPerDigit; ++bit) {
+      const std::size_t number = digit * kBitsPerDigit + bit;
+      if (number < bits.size() && bits[number]) value |= std::size_t{1} << bit;
+    }
+    text[digit] = kDigits[value];
+  }
+  text.resize(text.find_last_not_of('0') + 1);
+  Value(text);
+}
+
 }  // namespace gypsumfall::protocol_internal
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -136,10 +136,17 @@
   dispatcher_ = std::make_unique<Dispatcher>(
       settings, elector_.lease().record()->epoch, leader_since_);
   const WallTime wall_now = context_.WallNow();
-  std::vector<JobId> stored_ids;
+  std::set<JobId> ended;
+  for (const JobProgress& ended_job : loaded->ended) {
+    ended.insert(ended_job.id);
+    dispatcher_->RestoreEnded(ended_job);
+  }
   for (JobRecord& job : loaded->jobs) {
-    stored_ids.push_back(job.id);
-    dispatcher_->RestoreJob(std::move(job), now, wall_now);
+    if (ended.contains(job.id)) {
+      jobs_to_empty_.push_back(job.id);
+    } else {
+      dispatcher_->RestoreJob(std::move(job), now, wall_now);
+    }
   }
   for (JobRecord& job : loaded->sliced_jobs) {
     const JobSlice slice = SliceOf(*layout_.layout(), scope_.id, job.id);
@@ -154,13 +161,8 @@
   for (const JobProgress& stored_progress : loaded->progress) {
     dispatcher_->RestoreProgress(stored_progress);
   }
-  std::set<JobId> ended;
-  for (const JobProgress& ended_job : loaded->ended) {
-    ended.insert(ended_job.id);
-    dispatcher_->RestoreEnded(ended_job);
-  }
-  for (const JobId& id : stored_ids) {
-    if (ended.contains(id)) jobs_to_empty_.push_back(id);
+  for (const ChunkProgress& stored_progress : loaded->chunk_progress) {
+    dispatcher_->RestoreProgress(stored_progress);
   }
   dispatcher_->RestoreRoster(loaded->roster, now);
   job_scan_version_ = loaded->version;
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -159,7 +159,21 @@
                        });
   }
 
+  /// @return whether the transaction is within the limits of the table service.
+  static bool IsAllowed(const RowTransaction& transaction) {
+    constexpr std::size_t kMaxRowBytes = 65536;
+    constexpr std::size_t kMaxRows = 100;
+    return transaction.conditions.size() + transaction.writes.size() +
+                   transaction.removals.size() <=
+               kMaxRows &&
+           std::all_of(transaction.writes.begin(), transaction.writes.end(),
+                       [](const RowWrite& write) {
+                         return write.value.size() <= kMaxRowBytes;
+                       });
+  }
+
   TransactionReply Apply(const RowTransaction& transaction) {
+    if (!IsAllowed(transaction)) return {StoreOutcome::kNotApplied, {}, {}};
     TransactionReply reply{StoreOutcome::kDone, {}, {}};
     for (const RowCondition& condition : transaction.conditions) {
       const StoredRow* row = Find(condition.address);
--- a/gypsumfall/scheduler/internal/stored_jobs.h
+++ b/gypsumfall/scheduler/internal/stored_jobs.h
@@ -77,6 +77,7 @@
 struct StoredState {
   std::vector<JobRecord> jobs;
   std::vector<JobProgress> progress;
+  std::vector<ChunkProgress> chunk_progress;
   std::vector<JobProgress> ended;
   std::vector<RosterEntry> roster;
   std::vector<JobRecord> sliced_jobs;
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -124,6 +124,37 @@
   CHECK(d.workers.starts.contains(TaskOf(id, 0)));
 }
 
+// Guards against a periodic job whose progress outgrows a row of the store:
+// nothing else was stored any more, and the lease of the leader not renewed.
+TEST_CASE("a job with many occurrences does not stop the others") {
+  Deployment d;
+  JobRecord record{.id = JobId("periodic"), .queue = QueueId("q")};
+  record.terms.service = ServiceId("desk");
+  record.spec.steps.assign(3, {.task_count = 1});
+  record.spec.steps[1].after = {0};
+  record.spec.steps[2].after = {1};
+  record.spec.repetitions = 1500;
+  record.spec.first_due = std::chrono::duration_cast<WallTime>(
+      std::chrono::system_clock::now().time_since_epoch());
+  record.spec.interval = WallTime(1);
+  d.store.Put(JobAddress(OnlyShard(), record.id), Encode(record));
+  const auto deadline = std::chrono::steady_clock::now() + seconds(20);
+  const auto is_completed = [&](const char* path) {
+    return d.first->SendRequest(HttpMethod::kGet, path).body ==
+           StateText(JobState::kCompleted);
+  };
+  while (!is_completed("/periodic") &&
+         std::chrono::steady_clock::now() < deadline) {
+  }
+  CHECK(is_completed("/periodic"));
+  CHECK(d.first->elector().lease().record()->epoch == Epoch(1));
+  REQUIRE(d.first->SendRequest(HttpMethod::kPost, "/job1").status == 200);
+  while (!is_completed("/job1") &&
+         std::chrono::steady_clock::now() < deadline) {
+  }
+  CHECK(is_completed("/job1"));
+}
+
 // Guards against reads that also return the rows after the job's row, which
 // took seconds on the network link of a small host.
 TEST_CASE("a query for a job that the leader does not know reads one row") {
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -20,8 +20,17 @@
                             kJobPartitionCount);
 }
 
-RowAddress ProgressAddress(const ShardScope& scope, const JobId& id) {
-  return {kProgressTable, scope.partition, id.str()};
+RowAddress ProgressAddress(const ShardScope& scope, const ProgressRowId& row) {
+  std::string key = row.job.str();
+  if (row.occurrence != ProgressRowId::kWholeJob) {
+    key +=
+        "/" + std::to_string(row.occurrence) + "/" + std::to_string(row.chunk);
+  }
+  return {kProgressTable, scope.partition, std::move(key)};
+}
+
+bool IsChunkRow(const RowAddress& address) {
+  return address.key.find('/') != std::string::npos;
 }
 
 RowAddress EndedAddress(const ShardScope& scope, const JobId& id) {
@@ -152,6 +161,17 @@
   state.other_transfers = DecodeAll<TaskTransfer>(other_transfers, loading.log);
 }
 
+void DecodeProgress(LoadedRows loaded, StateLoad& loading) {
+  LoadedRows jobs;
+  LoadedRows chunks;
+  for (StoredRow& row : loaded.rows) {
+    LoadedRows& target = IsChunkRow(row.address) ? chunks : jobs;
+    target.rows.push_back(std::move(row));
+  }
+  loading.state.progress = DecodeAll<JobProgress>(jobs, loading.log);
+  loading.state.chunk_progress = DecodeAll<ChunkProgress>(chunks, loading.log);
+}
+
 void DecodeRoster(const LoadedRows& loaded, StateLoad& loading) {
   for (const StoredRow& row : loaded.rows) {
     if (row.address.key != kRosterKey) continue;
@@ -255,11 +275,17 @@
   RowTransaction rows;
   for (const JobProgress& progress : batch.progress) {
     rows.writes.push_back(
-        {ProgressAddress(scope, progress.id), Encode(progress)});
+        {ProgressAddress(scope, {.job = progress.id}), Encode(progress)});
+  }
+  for (const ChunkProgress& progress : batch.chunk_progress) {
+    rows.writes.push_back(
+        {ProgressAddress(scope, progress.row), Encode(progress)});
   }
   for (const JobProgress& ended : batch.ended) {
     rows.writes.push_back({EndedAddress(scope, ended.id), Encode(ended)});
-    rows.removals.push_back(ProgressAddress(scope, ended.id));
+  }
+  for (const ProgressRowId& row : batch.obsolete_progress) {
+    rows.removals.push_back(ProgressAddress(scope, row));
   }
   for (const JobId& id : batch.expired) {
     rows.removals.push_back(EndedAddress(scope, id));
@@ -290,10 +316,10 @@
         loading->Finish(loaded.outcome);
       });
   LoadRows(context, kProgressTable, scope.partition, kPageTimeout,
-           [loading](const LoadedRows& loaded) {
-             loading->state.progress =
-                 DecodeAll<JobProgress>(loaded, loading->log);
-             loading->Finish(loaded.outcome);
+           [loading](LoadedRows loaded) {
+             const StoreOutcome outcome = loaded.outcome;
+             DecodeProgress(std::move(loaded), *loading);
+             loading->Finish(outcome);
            });
   LoadRows(context, kEndedTable, scope.partition, kPageTimeout,
            [loading](const LoadedRows& loaded) {
