Set aside a row that the store rejects

Cause: every status of the store other than 200, 410 and 412 was "not done".

Change: a 4xx that isn't about load is an outcome of its own, "rejected". The elector gives the transaction back instead of repeating it. The dispatcher takes half as many rows until the row at fault is alone, sets that one aside, and tries it again every 10 s. Ends that wait for it stay unacknowledged, because a successor would need them; all other rows are stored and the lease is renewed. Rows that it replaces are kept meanwhile. A rejected renewal alone is repeated with the former delays. A job that the store rejects is answered with 400 at once, not with 503 and a time to come back.

Ruled out: to leave out the rows that fail and acknowledge their ends: after a takeover their tasks would run again.

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -11,6 +11,9 @@
 
 // Events kept until they are taken; further ones are dropped.
 constexpr std::size_t kMaxEvents = 4096;
+// Time after which a row that the store has rejected is tried again.
+constexpr Duration kRejectedRowRetryDelay = seconds(10);
+
 // Moves the first elements of a queue, at most `limit`, to a vector.
 // @return the number of moved elements.
 template <typename T>
@@ -24,6 +27,12 @@
   return count;
 }
 
+// Puts elements back to the front of a queue.
+template <typename T>
+void PutBack(const std::vector<T>& elements, std::deque<T>& queue) {
+  queue.insert(queue.begin(), elements.begin(), elements.end());
+}
+
 }  // namespace
 
 using dispatch_internal::ChooseWorkerToReserve;
@@ -245,6 +254,7 @@
 }
 
 RecordBatch Dispatcher::TakeRecords(std::size_t limit) {
+  limit = std::min(limit, max_batch_rows_);
   RecordBatch batch;
   batch.last_record_sequence = stored_record_sequence_;
   std::size_t rows = 0;
@@ -261,26 +271,34 @@
   while (!rows_to_record_.empty() && rows < limit) {
     const QueuedRow row = std::move(rows_to_record_.front());
     rows_to_record_.pop_front();
-    batch.last_record_sequence = row.sequence;
+    // The records of rejected rows are older than those stored since.
+    batch.last_record_sequence =
+        std::max(batch.last_record_sequence, row.sequence);
     if (Job* job = jobs_.Find(row.id.job)) rows += TakeRow(*job, row.id, batch);
+    batch.queued_rows.push_back(row);
   }
   rows += MoveUpTo(limit - rows, obsolete_rows_, batch.obsolete_progress);
   MoveUpTo(limit - rows, expired_jobs_, batch.expired);
   return batch;
 }
 
+Dispatcher::ProgressRow& Dispatcher::CurrentRow(Job& job,
+                                                const ProgressRowId& id) {
+  // The row of the job replaces those of chunks whose tasks are all done.
+  if (id.occurrence == ProgressRowId::kWholeJob || IsFinal(job.state) ||
+      job.IsCompleted(id.occurrence)) {
+    return job.row;
+  }
+  return job.occurrences[static_cast<std::size_t>(id.occurrence)]
+      .chunks[static_cast<std::size_t>(id.chunk)];
+}
+
 std::size_t Dispatcher::TakeRow(Job& job, const ProgressRowId& id,
                                 RecordBatch& batch) {
-  // The row of the job replaces those of chunks whose tasks are all done.
-  const bool replaced = id.occurrence == ProgressRowId::kWholeJob ||
-                        IsFinal(job.state) || job.IsCompleted(id.occurrence);
-  ProgressRow& row =
-      replaced ? job.row
-               : job.occurrences[static_cast<std::size_t>(id.occurrence)]
-                     .chunks[static_cast<std::size_t>(id.chunk)];
+  ProgressRow& row = CurrentRow(job, id);
   if (!row.pending) return 0;
   row.pending = false;
-  if (!replaced) {
+  if (&row != &job.row) {
     row.stored = true;
     batch.chunk_progress.push_back(JobTable::ProgressOf(job, id));
     return 1;
@@ -313,10 +331,66 @@
   }
   stored_record_sequence_ =
       std::max(stored_record_sequence_, batch.last_record_sequence);
+  for (const QueuedRow& row : batch.queued_rows)
+    rejected_sequences_.erase(row.sequence);
+  if (max_batch_rows_ < std::numeric_limits<std::size_t>::max() / 2)
+    max_batch_rows_ *= 2;
   for (auto& [id, worker] : workers_) Acknowledge(worker);
   return newly_visible;
 }
 
+void Dispatcher::OnRejected(RecordBatch batch, Time now) {
+  const std::size_t rows = batch.size();
+  if (rows <= 1) {
+    max_batch_rows_ = 1;
+    SetAside(std::move(batch), now);
+  } else {
+    max_batch_rows_ = rows / 2;
+    Requeue(std::move(batch));
+  }
+}
+
+void Dispatcher::Requeue(RecordBatch batch) {
+  for (const QueuedRow& row : batch.queued_rows) {
+    if (Job* job = jobs_.Find(row.id.job))
+      CurrentRow(*job, row.id).pending = true;
+  }
+  PutBack(batch.queued_rows, rows_to_record_);
+  PutBack(batch.obsolete_progress, obsolete_rows_);
+  PutBack(batch.expired, expired_jobs_);
+  PutBack(batch.transfers, transfers_to_record_);
+  PutBack(batch.obsolete_transfers, transfers_to_remove_);
+  roster_changed_ = roster_changed_ || batch.roster_changed;
+}
+
+void Dispatcher::SetAside(RecordBatch batch, Time now) {
+  std::string what = "no row";
+  for (const QueuedRow& row : batch.queued_rows) {
+    rejected_sequences_.insert(row.sequence);
+    // The row is not queued again meanwhile.
+    if (Job* job = jobs_.Find(row.id.job))
+      CurrentRow(*job, row.id).pending = true;
+    what = "progress of job " + row.id.job.str();
+    // What the row replaces stays stored until it is stored itself.
+    const auto first = std::stable_partition(
+        obsolete_rows_.begin(), obsolete_rows_.end(),
+        [&](const ProgressRowId& id) { return id.job != row.id.job; });
+    batch.obsolete_progress.insert(batch.obsolete_progress.end(), first,
+                                   obsolete_rows_.end());
+    obsolete_rows_.erase(first, obsolete_rows_.end());
+  }
+  AddEvent("row rejected by the store is set aside", {}, RunNumber(), {}, what);
+  rejected_batches_.push_back({std::move(batch), now + kRejectedRowRetryDelay});
+}
+
+void Dispatcher::RetryRejectedBatches(Time now) {
+  while (!rejected_batches_.empty() &&
+         rejected_batches_.front().retry_at <= now) {
+    Requeue(std::move(rejected_batches_.front().batch));
+    rejected_batches_.pop_front();
+  }
+}
+
 JobStateReply Dispatcher::StateOf(const JobId& id) const {
   const Job* job = jobs_.Find(id);
   if (job == nullptr) return {};
--- a/gypsumfall/dispatch/dispatcher_completions.cc
+++ b/gypsumfall/dispatch/dispatcher_completions.cc
@@ -298,7 +298,9 @@
   while (!worker.pending_completions.empty() &&
          !worker.pending_completions.front().report_of_unknown_job &&
          worker.pending_completions.front().record_sequence <=
-             stored_record_sequence_) {
+             stored_record_sequence_ &&
+         !rejected_sequences_.contains(
+             worker.pending_completions.front().record_sequence)) {
     worker.releasable = worker.pending_completions.front().number;
     worker.pending_completions.pop_front();
   }
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -100,6 +100,7 @@
   UnblockDueJobs(now);
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
+    RetryRejectedBatches(now);
     ExpireLeases(now);
     UpdatePredecessorRunsKnown();
     ApplyDeferredTransfers(now);
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,11 +35,20 @@
   Duration ended_retention = std::chrono::minutes(10);
 };
 
+/// A row with progress that waits to be stored.
+struct QueuedRow {
+  ProgressRowId id;
+  std::uint64_t sequence = 0;
+};
+
 /// Rows to store before the changes they hold are acknowledged to workers or
 /// become visible to callers.
 struct RecordBatch {
   /// Sequence number of the last record in the batch.
   std::uint64_t last_record_sequence = 0;
+  /// The rows with progress that the batch covers. Some of them need no record,
+  /// because another row has replaced them.
+  std::vector<QueuedRow> queued_rows;
   /// Progress of jobs that have not ended, and of their tasks.
   std::vector<JobProgress> progress;
   std::vector<ChunkProgress> chunk_progress;
@@ -57,11 +67,13 @@
   /// Workers that may hold leases.
   std::vector<RosterEntry> roster;
 
-  bool empty() const {
-    return progress.empty() && chunk_progress.empty() && ended.empty() &&
-           obsolete_progress.empty() && expired.empty() && transfers.empty() &&
-           obsolete_transfers.empty() && !roster_changed;
+  /// @return the number of rows that are written or removed.
+  std::size_t size() const {
+    return progress.size() + chunk_progress.size() + ended.size() +
+           obsolete_progress.size() + expired.size() + transfers.size() +
+           obsolete_transfers.size() + (roster_changed ? 1 : 0);
   }
+  bool empty() const { return size() == 0; }
 };
 
 /// A decision or a change of state, for the log.
@@ -188,6 +200,10 @@
   /// Handles the successful write of a batch.
   /// @return the jobs whose final state has become visible.
   std::vector<JobId> OnRecorded(const RecordBatch& batch);
+  /// Handles the rejection of a batch by the store. The next batches are
+  /// smaller until the row at fault is alone; it is set aside and tried again
+  /// later, so that it does not hold up the others.
+  void OnRejected(RecordBatch batch, Time now);
 
   /// @return the state of the job that is visible to callers.
   JobStateReply StateOf(const JobId& id) const;
@@ -262,6 +278,13 @@
   /// Adds the row to the batch if it has changed since it was taken last.
   /// @return the number of rows added.
   std::size_t TakeRow(Job& job, const ProgressRowId& id, RecordBatch& batch);
+  /// @return the row that holds the progress: that of the job if it has
+  ///   replaced the one with the id.
+  static ProgressRow& CurrentRow(Job& job, const ProgressRowId& id);
+  /// Puts the rows of a batch back to the front of the queues.
+  void Requeue(RecordBatch batch);
+  void SetAside(RecordBatch batch, Time now);
+  void RetryRejectedBatches(Time now);
 
   // Runs and their completions.
   Step& StepOf(Job& job, const TaskName& name);
@@ -428,11 +451,18 @@
   std::uint64_t next_record_sequence_ = 1;
   std::uint64_t stored_record_sequence_ = 0;
   /// Rows to store, in the order of their sequence numbers.
-  struct QueuedRow {
-    ProgressRowId id;
-    std::uint64_t sequence = 0;
-  };
   std::deque<QueuedRow> rows_to_record_;
+  /// A batch of one row that the store has rejected.
+  struct RejectedBatch {
+    RecordBatch batch;
+    Time retry_at;
+  };
+  std::deque<RejectedBatch> rejected_batches_;
+  /// Sequence numbers of rejected records. Ends that wait for them are not
+  /// acknowledged.
+  std::set<std::uint64_t> rejected_sequences_;
+  /// Largest number of rows in a batch while the store rejects batches.
+  std::size_t max_batch_rows_ = std::numeric_limits<std::size_t>::max();
   /// Rows to remove. What replaces them has been taken for an earlier batch.
   std::deque<ProgressRowId> obsolete_rows_;
   /// Expired jobs whose records are removed.
--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -185,6 +185,11 @@
     case StoreOutcome::kHistoryGone:
       exchange->maybe_stored = true;
       break;
+    case StoreOutcome::kRejected:
+      if (exchange->maybe_stored) break;
+      Answer(*exchange, {.kind = CallerAnswer::Kind::kBadRequest,
+                         .detail = "the store rejects the job"});
+      return;
     case StoreOutcome::kNotApplied:
       break;
   }
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -52,6 +52,7 @@
       refused_starts_(context.metrics.AddCounter("starts_refused")),
       unanswered_(context.metrics.AddCounter("orders_unanswered")),
       record_batches_(context.metrics.AddCounter("record_batches_stored")),
+      rejected_batches_(context.metrics.AddCounter("record_batches_rejected")),
       transfers_(context.metrics.AddCounter("tasks_transferred")),
       store_latency_(context.metrics.AddLatency("record_store_seconds")),
       takeover_time_(context.metrics.AddLatency("takeover_seconds")),
@@ -226,12 +227,20 @@
   if (!due && age < kRenewInterval) return;
   RecordBatch batch = dispatcher_->TakeRecords(kMaxBatchRows);
   RowTransaction rows = BatchTransaction(scope_, batch);
-  elector_.Store(std::move(rows), [this, generation = generation_, now,
-                                   batch = std::move(batch)] {
-    if (generation != generation_) return;
-    store_latency_.Record(context_.Now() - now);
-    OnStored(batch);
-  });
+  auto shared_batch = std::make_shared<RecordBatch>(std::move(batch));
+  elector_.Store(
+      std::move(rows),
+      [this, generation = generation_, now, shared_batch] {
+        if (generation != generation_) return;
+        store_latency_.Record(context_.Now() - now);
+        OnStored(*shared_batch);
+      },
+      [this, generation = generation_, shared_batch] {
+        if (generation != generation_) return;
+        rejected_batches_.Add();
+        dispatcher_->OnRejected(std::move(*shared_batch), context_.Now());
+        RunCycleSoon();
+      });
 }
 
 void DispatchService::OnStored(const RecordBatch& batch) {
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -118,6 +118,7 @@
   Counter& refused_starts_;
   Counter& unanswered_;
   Counter& record_batches_;
+  Counter& rejected_batches_;
   Counter& transfers_;
   LatencyHistogram& store_latency_;
   LatencyHistogram& takeover_time_;
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -82,6 +82,9 @@
     remaining_read_failures_ = count;
   }
 
+  /// Row that the store never takes, if its table is set.
+  RowAddress rejected_row;
+
   /// Number of rows that reads have returned so far.
   std::size_t rows_returned = 0;
 
@@ -160,20 +163,21 @@
   }
 
   /// @return whether the transaction is within the limits of the table service.
-  static bool IsAllowed(const RowTransaction& transaction) {
+  bool IsAllowed(const RowTransaction& transaction) const {
     constexpr std::size_t kMaxRowBytes = 65536;
     constexpr std::size_t kMaxRows = 100;
     return transaction.conditions.size() + transaction.writes.size() +
                    transaction.removals.size() <=
                kMaxRows &&
            std::all_of(transaction.writes.begin(), transaction.writes.end(),
-                       [](const RowWrite& write) {
-                         return write.value.size() <= kMaxRowBytes;
+                       [this](const RowWrite& write) {
+                         return write.value.size() <= kMaxRowBytes &&
+                                write.address != rejected_row;
                        });
   }
 
   TransactionReply Apply(const RowTransaction& transaction) {
-    if (!IsAllowed(transaction)) return {StoreOutcome::kNotApplied, {}, {}};
+    if (!IsAllowed(transaction)) return {StoreOutcome::kRejected, {}, {}};
     TransactionReply reply{StoreOutcome::kDone, {}, {}};
     for (const RowCondition& condition : transaction.conditions) {
       const StoredRow* row = Find(condition.address);
--- a/gypsumfall/scheduler/internal/leader_elector.h
+++ b/gypsumfall/scheduler/internal/leader_elector.h
@@ -44,12 +44,16 @@
   void OnHolderReplaced(const std::string& process);
 
   /// Stores rows and renews the lease in one transaction. Retries until the
-  /// transaction is stored or leadership is lost. Only one call may be pending.
+  /// transaction is stored or rejected, or leadership is lost. Only one call
+  /// may be pending.
   /// @param rows changes in the partition of the shard's scheduler.
   /// @param stored called after the rows are stored; not called if leadership
   /// is
   ///   lost before.
-  void Store(RowTransaction rows, std::function<void()> stored);
+  /// @param rejected called if the store rejects the transaction for its
+  ///   content. Nothing is stored then, and the lease is not renewed.
+  void Store(RowTransaction rows, std::function<void()> stored,
+             std::function<void()> rejected);
   bool is_storing() const { return pending_store_.has_value(); }
   /// @return the time at which the latest stored transaction was first sent.
   Time last_stored() const { return last_stored_; }
@@ -77,8 +81,13 @@
     RowTransaction transaction;
     LeaderClaim renewal;
     std::function<void()> stored;
+    std::function<void()> rejected;
     Time first_sent;
     int failures = 0;
+
+    bool IsOnlyRenewal() const {
+      return transaction.writes.size() == 1 && transaction.removals.empty();
+    }
   };
 
   void ReadLeaderRow();
@@ -89,6 +98,7 @@
   void SendPendingStore();
   void OnStoreReply(const TransactionReply& reply);
   void CompleteStore(RowVersion version);
+  void RejectStore();
   void LoseLeadership(std::string_view cause);
   RowAddress LeaderRowAddress() const {
     return {kLeaderTable, scope_.partition, kLeaderKey};
--- a/gypsumfall/scheduler/leader_elector.cc
+++ b/gypsumfall/scheduler/leader_elector.cc
@@ -203,13 +203,15 @@
       });
 }
 
-void LeaderElector::Store(RowTransaction rows, std::function<void()> stored) {
+void LeaderElector::Store(RowTransaction rows, std::function<void()> stored,
+                          std::function<void()> rejected) {
   LeaderClaim renewal = lease_.Renewal();
   rows.conditions.push_back({LeaderRowAddress(), renewal.expected});
   rows.writes.push_back({LeaderRowAddress(), Encode(renewal.record)});
   pending_store_ = PendingStore{.transaction = std::move(rows),
                                 .renewal = std::move(renewal),
                                 .stored = std::move(stored),
+                                .rejected = std::move(rejected),
                                 .first_sent = context_.Now()};
   SendPendingStore();
 }
@@ -248,6 +250,12 @@
     LoseLeadership("the version of the leader row has changed");
     return;
   }
+  // The renewal alone is repeated like after any other failure.
+  if (reply.outcome == StoreOutcome::kRejected &&
+      !pending_store_->IsOnlyRenewal()) {
+    RejectStore();
+    return;
+  }
   if (pending_store_->failures++ == 0) {
     log_.Warning("failed to store the scheduler's rows; retrying",
                  {{"shard", scope_.id},
@@ -272,6 +280,22 @@
   CompleteHandover();
 }
 
+// The transaction is not repeated, so that the next one can renew the lease.
+void LeaderElector::RejectStore() {
+  const PendingStore rejected = std::move(*pending_store_);
+  pending_store_.reset();
+  std::size_t largest_row = 0;
+  for (const RowWrite& write : rejected.transaction.writes)
+    largest_row = std::max(largest_row, write.value.size());
+  log_.Error("the store rejected the scheduler's rows",
+             {{"shard", scope_.id},
+              {"rows", rejected.transaction.writes.size()},
+              {"removals", rejected.transaction.removals.size()},
+              {"largest_row_bytes", largest_row}});
+  rejected.rejected();
+  CompleteHandover();
+}
+
 void LeaderElector::Resign() { LoseLeadership("workers know a newer epoch"); }
 
 void LeaderElector::LoseLeadership(std::string_view cause) {
--- a/gypsumfall/scheduler/ports.h
+++ b/gypsumfall/scheduler/ports.h
@@ -71,6 +71,9 @@
   kConflict,
   /// Nothing was changed; the store is overloaded, down or unreachable.
   kNotApplied,
+  /// Nothing was changed, because the call is not valid or exceeds a limit of
+  /// the store. The same call fails again.
+  kRejected,
   /// No response; the call may have been carried out or may still be.
   kUnknown,
   /// The store no longer keeps the requested changes.
--- a/gypsumfall/scheduler/row_loader.cc
+++ b/gypsumfall/scheduler/row_loader.cc
@@ -7,8 +7,8 @@
 namespace gypsumfall {
 
 std::string_view StoreOutcomeName(StoreOutcome outcome) {
-  static constexpr std::array<std::string_view, 5> kNames = {
-      "done", "conflict", "not_done", "unknown", "history_gone"};
+  static constexpr std::array<std::string_view, 6> kNames = {
+      "done", "conflict", "not_done", "rejected", "unknown", "history_gone"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -155,6 +155,44 @@
   CHECK(is_completed("/job1"));
 }
 
+// Guards against a row that the store never takes: it was sent again with each
+// renewal of the lease, so that the leader stored nothing and lost the lease.
+TEST_CASE("a row that the store rejects does not hold up the others") {
+  Deployment d;
+  d.store.rejected_row = {kEndedTable, OnlyShard().partition, "bad"};
+  StoreUnreportedJob(d.store, JobId("bad"));
+  d.first->RunUntil(
+      [&] { return d.workers.starts.contains(TaskOf(JobId("bad"), 0)); });
+  const auto is_completed = [&](const std::string& path) {
+    return d.first->SendRequest(HttpMethod::kGet, path).body ==
+           StateText(JobState::kCompleted);
+  };
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < 20; ++i) {
+    const std::string path = "/job" + std::to_string(i);
+    REQUIRE(d.first->SendRequest(HttpMethod::kPost, path).status == 200);
+    while (!is_completed(path) &&
+           std::chrono::steady_clock::now() < start + seconds(8)) {
+    }
+    CHECK(is_completed(path));
+  }
+  // A lease and more.
+  d.first->RunUntil(
+      [&] { return std::chrono::steady_clock::now() > start + seconds(4); });
+  CHECK(d.first->elector().lease().record()->epoch == Epoch(1));
+  // The end is not acknowledged, because a successor would need it.
+  CHECK_FALSE(is_completed("/bad"));
+  CHECK(d.workers.unacknowledged_ends(WorkerId("w1")) > 0);
+  d.store.rejected_row = {};
+  d.first->RunUntil([&] {
+    return d.workers.unacknowledged_ends(WorkerId("w1")) == 0 ||
+           std::chrono::steady_clock::now() > start + seconds(25);
+  });
+  CHECK(d.workers.unacknowledged_ends(WorkerId("w1")) == 0);
+  CHECK(is_completed("/bad"));
+  for (const auto& [task, count] : d.workers.starts) CHECK(count == 1);
+}
+
 // Guards against reads that also return the rows after the job's row, which
 // took seconds on the network link of a small host.
 TEST_CASE("a query for a job that the leader does not know reads one row") {
