--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -11,6 +11,9 @@
 
 // Events kept until they are taken; further ones are dropped.
 constexpr std::size_t kMaxEvents = 4096;
+// Steps of a job that wait for workers before its next occurrence is opened.
+constexpr int kMaxWaitingSteps = 64;
+
 // Time after which a row that the store has rejected is tried again.
 constexpr Duration kRejectedRowRetryDelay = seconds(10);
 
@@ -59,19 +62,16 @@
   const std::uint64_t epochs_since_acceptance =
       epoch_.value() -
       std::min(epoch_.value(), job->record.accepted_epoch.value());
-  for (Occurrence& occurrence : job->occurrences) {
-    for (Step& step : occurrence.steps) {
-      for (Task& task : step.tasks)
-        task.last_run = epochs_since_acceptance * kRunsPerEpoch;
-    }
-  }
+  job->last_run_of_earlier_epochs = epochs_since_acceptance * kRunsPerEpoch;
   return job;
 }
 
 void Dispatcher::RestoreJob(JobRecord record, Time now, WallTime wall_now,
                             JobSlice slice) {
-  const Job* job = AddJob(std::move(record), slice, now, wall_now);
-  if (job != nullptr) due_occurrences_.emplace(now, job->record.id);
+  Job* job = AddJob(std::move(record), slice, now, wall_now);
+  if (job == nullptr) return;
+  job->due_queued = true;
+  due_occurrences_.emplace(now, job->record.id);
 }
 
 void Dispatcher::RestoreProgress(const JobProgress& progress) {
@@ -85,14 +85,11 @@
   if (progress.steps.empty()) return;
   // Written by an earlier version: its steps are stored as chunks before the
   // row is replaced by one without them.
-  for (const StepProgress& step : progress.steps) {
-    const auto k = static_cast<std::size_t>(step.occurrence);
-    if (k >= job->occurrences.size() || job->completed[k]) continue;
-    std::vector<ProgressRow>& chunks = job->occurrences[k].chunks;
-    for (std::size_t chunk = 0; chunk < chunks.size(); ++chunk) {
-      QueueRow(chunks[chunk], {.job = progress.id,
-                               .occurrence = step.occurrence,
-                               .chunk = static_cast<int>(chunk)});
+  for (auto& [number, occurrence] : job->occurrences) {
+    for (std::size_t chunk = 0; chunk < occurrence.chunks.size(); ++chunk) {
+      QueueRow(occurrence.chunks[chunk], {.job = progress.id,
+                                          .occurrence = number,
+                                          .chunk = static_cast<int>(chunk)});
     }
   }
   QueueJobRow(*job);
@@ -126,7 +123,7 @@
   if (job == nullptr) return;
   AddRoutineEvent("job submitted", {.job = job->record.id}, RunNumber(), {},
                   "queue " + job->record.queue.str());
-  UnblockSteps(*job, now);
+  OpenDueOccurrences(*job, now);
   ApplyEarlierCompletions(job->record.id, now, wall_now);
 }
 
@@ -165,8 +162,9 @@
 void Dispatcher::EndJob(Job& job, JobState state, Time now, WallTime wall_now) {
   job.state = state;
   job.ended_at = wall_now;
-  for (std::size_t k = 0; k < job.occurrences.size(); ++k)
-    MakeChunksObsolete(job, static_cast<int>(k));
+  for (auto& [number, occurrence] : job.occurrences)
+    MakeChunksObsolete(job, number, occurrence);
+  job.RemoveTasks();
   if (job.slice.IsWhole()) {
     ++unstored_ended_jobs_;
     QueueJobRow(job);
@@ -187,52 +185,76 @@
   }
 }
 
-void Dispatcher::UnblockSteps(Job& job, Time now) {
-  Time next_due = Time::max();
-  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-    Occurrence& occurrence = job.occurrences[k];
-    if (occurrence.due > now) {
-      next_due = std::min(next_due, occurrence.due);
-      continue;
-    }
-    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-      Step& step = occurrence.steps[s];
-      if (step.unblocked) continue;
-      const std::vector<int>& after = job.record.spec.steps[s].after;
-      step.unblocked =
-          std::all_of(after.begin(), after.end(), [&](int dependency) {
-            const Step& required =
-                occurrence.steps[static_cast<std::size_t>(dependency)];
-            return required.done == static_cast<int>(required.tasks.size());
-          });
-      if (!step.unblocked) continue;
-      for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-        if (step.tasks[i].phase != TaskPhase::kBlocked) continue;
-        MakeReady({job.record.id, static_cast<int>(k), static_cast<int>(s),
-                   static_cast<int>(i)},
-                  step.tasks[i], now);
-      }
-    }
+void Dispatcher::OpenDueOccurrences(Job& job, Time now) {
+  const int count = job.record.spec.occurrence_count();
+  int& next = job.next_occurrence;
+  while (next < count && job.DueOf(next) <= now &&
+         job.waiting_steps < kMaxWaitingSteps) {
+    if (!job.IsCompleted(next)) UnblockSteps(job, next, now);
+    ++next;
+  }
+  if (next == count) return;
+  if (job.DueOf(next) <= now) {
+    backlogged_jobs_.insert(job.record.id);
+  } else if (!std::exchange(job.due_queued, true)) {
+    due_occurrences_.emplace(job.DueOf(next), job.record.id);
   }
-  if (next_due != Time::max())
-    due_occurrences_.emplace(next_due, job.record.id);
 }
 
 void Dispatcher::UnblockDueJobs(Time now) {
+  std::set<JobId> due = std::exchange(backlogged_jobs_, {});
   while (!due_occurrences_.empty() && due_occurrences_.begin()->first <= now) {
     const JobId id = due_occurrences_.begin()->second;
     due_occurrences_.erase(due_occurrences_.begin());
+    if (Job* job = jobs_.Find(id)) job->due_queued = false;
+    due.insert(id);
+  }
+  for (const JobId& id : due) {
     Job* job = jobs_.Find(id);
-    if (job != nullptr && !IsFinal(job->state)) UnblockSteps(*job, now);
+    if (job != nullptr && !IsFinal(job->state)) OpenDueOccurrences(*job, now);
+  }
+}
+
+void Dispatcher::UnblockSteps(Job& job, int number, Time now) {
+  Occurrence& occurrence = job.Open(number);
+  for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+    Step& step = occurrence.steps[s];
+    if (step.unblocked) continue;
+    const std::vector<int>& after = job.record.spec.steps[s].after;
+    step.unblocked =
+        std::all_of(after.begin(), after.end(), [&](int dependency) {
+          return occurrence.steps[static_cast<std::size_t>(dependency)]
+              .tasks.AllDone();
+        });
+    if (step.unblocked && step.tasks.MakeReady(now)) {
+      AddReadyStep(job, {job.record.id, number, static_cast<int>(s)}, now);
+    }
   }
 }
 
 void Dispatcher::MakeReady(const TaskName& name, Task& task, Time now) {
   task.phase = TaskPhase::kReady;
   task.ready_since = now;
-  if (ready_steps_.insert({name.job, name.occurrence, name.step}).second) {
-    StepOf(*jobs_.Find(name.job), name).ready_since = now;
-  }
+  AddReadyStep(*jobs_.Find(name.job), {name.job, name.occurrence, name.step},
+               now);
+}
+
+void Dispatcher::AddReadyStep(Job& job, const StepRef& ref, Time now) {
+  if (!ready_steps_.insert(ref).second) return;
+  ++job.waiting_steps;
+  job.FindStep({ref.job, ref.occurrence, ref.step, 0})->ready_since = now;
+}
+
+std::set<Dispatcher::StepRef>::iterator Dispatcher::RemoveReadyStep(
+    std::set<StepRef>::iterator step) {
+  if (Job* job = jobs_.Find(step->job)) --job->waiting_steps;
+  return ready_steps_.erase(step);
+}
+
+Dispatcher::Job* Dispatcher::FindJobOf(const StepRef& ref) {
+  Job* job = jobs_.Find(ref.job);
+  const bool open = job != nullptr && job->occurrences.contains(ref.occurrence);
+  return open ? job : nullptr;
 }
 
 bool Dispatcher::HasRecords() const {
@@ -289,7 +311,7 @@
       job.IsCompleted(id.occurrence)) {
     return job.row;
   }
-  return job.occurrences[static_cast<std::size_t>(id.occurrence)]
+  return job.occurrences.at(id.occurrence)
       .chunks[static_cast<std::size_t>(id.chunk)];
 }
 
@@ -459,24 +481,31 @@
     }
   }
   status.waiting_steps = ready_steps_.size();
+  status.jobs = jobs_.size();
+  for (const auto& [id, job] : jobs_) {
+    status.open_occurrences += job->occurrences.size();
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (const Step& step : occurrence.steps)
+        status.changed_tasks += step.tasks.changed();
+    }
+  }
   for (const StepRef& ref : ready_steps_) AddWaitsTo(status, ref, now);
   return status;
 }
 
 // Adds the waiting tasks of a long-running step to the status of the shard.
 void Dispatcher::AddWaitsTo(ShardStatus& status, const StepRef& ref, Time now) {
-  Job* job = jobs_.Find(ref.job);
-  if (job == nullptr || IsFinal(job->state)) return;
+  Job* job = FindJobOf(ref);
+  if (job == nullptr) return;
   TaskName name{ref.job, ref.occurrence, ref.step, 0};
   const StepSpec& spec = job->spec_of(name);
   if (!spec.long_running) return;
-  const Step& step = StepOf(*job, name);
+  Step& step = StepOf(*job, name);
   int waiting = 0;
   bool reservable = false;
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    const Task& task = step.tasks[i];
-    if (task.phase != TaskPhase::kReady) continue;
-    name.index = static_cast<int>(i);
+  step.tasks.VisitReady([&](int index) {
+    const Task& task = step.tasks[index];
+    name.index = index;
     // All tasks of the step need the same, so one search is enough.
     if (++waiting == 1) {
       const PlacementRequest request = RequestFor(*job, name, step);
@@ -486,7 +515,8 @@
       ++status.unplaceable_long_running;
     status.longest_long_running_wait =
         std::max(status.longest_long_running_wait, now - task.ready_since);
-  }
+    return true;
+  });
   if (waiting == 0) return;
   status.waiting_long_running += waiting;
   status.largest_waiting_need =
--- a/gypsumfall/dispatch/dispatcher_completions.cc
+++ b/gypsumfall/dispatch/dispatcher_completions.cc
@@ -38,8 +38,7 @@
 using dispatch_internal::TaskPhase;
 
 Dispatcher::Step& Dispatcher::StepOf(Job& job, const TaskName& name) {
-  return job.occurrences[static_cast<std::size_t>(name.occurrence)]
-      .steps[static_cast<std::size_t>(name.step)];
+  return *job.FindStep(name);
 }
 
 void Dispatcher::BindRun(Worker& worker, Job& job, const TaskName& name,
@@ -63,24 +62,18 @@
 void Dispatcher::UnbindRun(Worker& worker, const TaskName& name) {
   Unbind(worker, name);
   Job* job = jobs_.Find(name.job);
-  if (job == nullptr || job->occurrences.empty()) return;
-  if (job->spec_of(name).max_per_worker > 0) {
-    --StepOf(*job, name).runs_per_worker[worker.entry.id];
-  }
+  Step* step = job == nullptr ? nullptr : job->FindStep(name);
+  if (step != nullptr && job->spec_of(name).max_per_worker > 0)
+    --step->runs_per_worker[worker.entry.id];
 }
 
 void Dispatcher::Requeue(const TaskName& name, std::optional<Time> confirmed_at,
                          Time last_known, Time now) {
-  Job* job = jobs_.Find(name.job);
-  Task* task = jobs_.FindTask(name);
-  if (job == nullptr || task == nullptr) return;
-  if (task->phase == TaskPhase::kDone || task->phase == TaskPhase::kExcluded) {
-    return;
-  }
-  if (IsFinal(job->state)) {
-    task->phase = TaskPhase::kBlocked;
-    return;
-  }
+  const Job* job = jobs_.Find(name.job);
+  const Task* known = jobs_.FindTask(name);
+  if (known == nullptr || known->phase == TaskPhase::kExcluded) return;
+  Task* task = jobs_.EditTask(name);
+  if (task == nullptr) return;
   const TaskPhase phase = task->phase;
   const Time waits_since = task->ready_since;
   task->last_end = now;
@@ -96,9 +89,10 @@
 
 void Dispatcher::AvoidWorker(const TaskName& name, const Worker& worker) {
   const Job* job = jobs_.Find(name.job);
-  Task* task = jobs_.FindTask(name);
-  if (job == nullptr || task == nullptr || !job->spec_of(name).long_running)
+  if (jobs_.FindTask(name) == nullptr || !job->spec_of(name).long_running)
     return;
+  Task* task = jobs_.EditTask(name);
+  if (task == nullptr) return;
   std::vector<WorkerId>& avoided = task->failed_on;
   if (task->CountFailuresOn(worker.entry.id) == kMaxFailuresOnWorker) return;
   if (avoided.size() == kMaxFailures) avoided.erase(avoided.begin());
@@ -182,9 +176,13 @@
   // The final state may not be stored yet. A successor that knows neither it
   // nor this end would start the task again.
   if (IsFinal(job->state)) return job->row.sequence;
-  Task* task = jobs_.FindTask(end.task);
-  if (task == nullptr) return 0;
-  if (task->phase == TaskPhase::kDone) return SequenceOf(*job, end.task);
+  if (!job->HasTask(end.task)) return 0;
+  if (job->IsCompleted(end.task.occurrence)) return job->row.sequence;
+  // The run may have been started by an earlier epoch.
+  job->Open(end.task.occurrence);
+  if (jobs_.FindTask(end.task)->phase == TaskPhase::kDone)
+    return SequenceOf(*job, end.task);
+  Task* task = jobs_.EditTask(end.task);
   if (!end.checkpoint.empty() && end.run.value() >= task->last_run) {
     task->checkpoint = end.checkpoint;
   }
@@ -202,7 +200,7 @@
     if (job->spec_of(end.task).gang) {
       MarkGangDone(*job, end.task);
     } else {
-      MarkTaskDone(*job, end.task, *task);
+      MarkTaskDone(*job, end.task);
     }
     AdvanceJob(*job, end.task, now, wall_now);
     return SequenceOf(*job, end.task);
@@ -235,19 +233,17 @@
   learned += kRunTimeLearningRate * (ratio - learned);
 }
 
-void Dispatcher::MarkTaskDone(Job& job, const TaskName& name, Task& task) {
-  task.phase = TaskPhase::kDone;
-  ++StepOf(job, name).done;
+void Dispatcher::MarkTaskDone(Job& job, const TaskName& name) {
+  StepOf(job, name).tasks.MarkDone(name.index);
   QueueChunkOf(job, name);
 }
 
 void Dispatcher::MarkGangDone(Job& job, const TaskName& name) {
   Step& step = StepOf(job, name);
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    if (step.tasks[i].phase == TaskPhase::kDone) continue;
-    TaskName member = name;
-    member.index = static_cast<int>(i);
-    MarkTaskDone(job, member, step.tasks[i]);
+  TaskName member = name;
+  for (member.index = 0; member.index < step.tasks.size(); ++member.index) {
+    if (step.tasks[member.index].phase != TaskPhase::kDone)
+      MarkTaskDone(job, member);
   }
 }
 
@@ -263,33 +259,32 @@
 
 void Dispatcher::AdvanceJob(Job& job, const TaskName& name, Time now,
                             WallTime wall_now) {
-  Step& step = StepOf(job, name);
-  if (step.done < static_cast<int>(step.tasks.size())) return;
-  Occurrence& occurrence =
-      job.occurrences[static_cast<std::size_t>(name.occurrence)];
+  if (!StepOf(job, name).tasks.AllDone()) return;
+  Occurrence& occurrence = job.occurrences.at(name.occurrence);
   ++occurrence.steps_done;
   if (occurrence.steps_done < static_cast<int>(occurrence.steps.size())) {
-    UnblockSteps(job, now);
+    if (job.DueOf(name.occurrence) <= now)
+      UnblockSteps(job, name.occurrence, now);
     return;
   }
   CompleteOccurrence(job, name.occurrence);
   if (job.completed.all()) EndJob(job, JobState::kCompleted, now, wall_now);
 }
 
-void Dispatcher::CompleteOccurrence(Job& job, int occurrence) {
-  job.completed.set(static_cast<std::size_t>(occurrence));
-  MakeChunksObsolete(job, occurrence);
+void Dispatcher::CompleteOccurrence(Job& job, int number) {
+  job.completed.set(static_cast<std::size_t>(number));
+  MakeChunksObsolete(job, number, job.occurrences.at(number));
+  job.occurrences.erase(number);
   QueueJobRow(job);
 }
 
 // Has the rows of the chunks removed after the row of the job is stored.
-void Dispatcher::MakeChunksObsolete(Job& job, int occurrence) {
-  std::vector<ProgressRow>& chunks =
-      job.occurrences[static_cast<std::size_t>(occurrence)].chunks;
-  for (std::size_t i = 0; i < chunks.size(); ++i) {
-    if (!std::exchange(chunks[i].stored, false)) continue;
+void Dispatcher::MakeChunksObsolete(Job& job, int number,
+                                    Occurrence& occurrence) {
+  for (std::size_t i = 0; i < occurrence.chunks.size(); ++i) {
+    if (!std::exchange(occurrence.chunks[i].stored, false)) continue;
     job.obsolete_rows.push_back({.job = job.record.id,
-                                 .occurrence = occurrence,
+                                 .occurrence = number,
                                  .chunk = static_cast<int>(i)});
   }
 }
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -317,10 +317,9 @@
     UpdateProgress(worker, run, report.percent, now);
     run.usage = report.usage;
     if (ExceedsShare(run, now)) run.sent_percent = kUnknownSentPercent;
-    Task* task = jobs_.FindTask(report.task);
-    if (task != nullptr && !report.checkpoint.empty()) {
-      task->checkpoint = report.checkpoint;
-    }
+    Task* task =
+        report.checkpoint.empty() ? nullptr : jobs_.EditTask(report.task);
+    if (task != nullptr) task->checkpoint = report.checkpoint;
   }
   worker.unexpected_runs = std::move(unexpected_runs);
   interference_.Learn(worker);
@@ -332,12 +331,17 @@
 void Dispatcher::AdoptRun(Worker& worker, const RunReport& report, Time sent,
                           Time now) {
   Job* job = jobs_.Find(report.task.job);
-  Task* task = jobs_.FindTask(report.task);
-  if (job == nullptr || task == nullptr || IsFinal(job->state)) return;
-  if (task->phase == TaskPhase::kBound || task->phase == TaskPhase::kDone ||
-      task->phase == TaskPhase::kExcluded) {
+  if (job == nullptr || IsFinal(job->state) || !job->HasTask(report.task) ||
+      job->IsCompleted(report.task.occurrence)) {
+    return;
+  }
+  job->Open(report.task.occurrence);
+  const TaskPhase phase = jobs_.FindTask(report.task)->phase;
+  if (phase == TaskPhase::kBound || phase == TaskPhase::kDone ||
+      phase == TaskPhase::kExcluded) {
     return;
   }
+  Task* task = jobs_.EditTask(report.task);
   if (report.run.value() < task->last_run && worker.fenced) return;
   task->ready_since = now;
   AddRoutineEvent("run adopted", report.task, report.run, worker.entry.id);
@@ -420,9 +424,8 @@
   const StepSpec& spec = job.spec_of(name);
   if (spec.gang || !spec.long_running) return false;
   // The run that this epoch bound was the only one of the task.
-  const Step& step = job.occurrences[static_cast<std::size_t>(name.occurrence)]
-                         .steps[static_cast<std::size_t>(name.step)];
-  return step.tasks[static_cast<std::size_t>(name.index)].bound_in_epoch;
+  const Step* step = job.FindStep(name);
+  return step != nullptr && step->tasks[name.index].bound_in_epoch;
 }
 
 }  // namespace gypsumfall
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -183,7 +183,7 @@
       if (!run.paused_since) run.paused_since = now;
       if (now < *run.paused_since + kPauseBeforeMove) continue;
       const Job* job = jobs_.Find(name.job);
-      if (job != nullptr && !job->occurrences.empty() &&
+      if (job != nullptr && !IsFinal(job->state) &&
           job->spec_of(name).checkpoints) {
         RequestStop(worker, name, now, "paused for latency-critical work");
       }
@@ -199,7 +199,7 @@
     for (auto& [name, run] : worker.runs) {
       if (!IsStalled(worker, run)) continue;
       CountFailure(worker, now);
-      if (Task* task = jobs_.FindTask(name)) task->failed_on = {id};
+      if (Task* task = jobs_.EditTask(name)) task->failed_on = {id};
       RequestStop(worker, name, now, "run makes no progress");
     }
   }
@@ -240,13 +240,11 @@
 // to wait.
 Time Dispatcher::ObjectiveOf(const Job& job, const StepRef& ref) {
   const Duration allowed = job.record.terms.objective;
-  const Occurrence& occurrence =
-      job.occurrences[static_cast<std::size_t>(ref.occurrence)];
-  const auto step = static_cast<std::size_t>(ref.step);
-  if (job.record.spec.steps[step].long_running) {
-    return occurrence.steps[step].ready_since + allowed;
-  }
-  if (job.record.spec.repetitions > 0) return occurrence.due + allowed;
+  const TaskName name{ref.job, ref.occurrence, ref.step, 0};
+  if (job.spec_of(name).long_running)
+    return job.FindStep(name)->ready_since + allowed;
+  if (job.record.spec.repetitions > 0)
+    return job.DueOf(ref.occurrence) + allowed;
   return job.objective;
 }
 
@@ -279,9 +277,9 @@
   };
   std::vector<Ranked> ranked;
   for (auto next = ready_steps_.begin(); next != ready_steps_.end();) {
-    const Job* job = jobs_.Find(next->job);
-    if (job == nullptr || IsFinal(job->state)) {
-      next = ready_steps_.erase(next);
+    const Job* job = FindJobOf(*next);
+    if (job == nullptr) {
+      next = RemoveReadyStep(next);
       continue;
     }
     const Time objective = ObjectiveOf(*job, *next);
@@ -325,7 +323,7 @@
     }
     switch (StartStep(ref, now, orders)) {
       case StepStart::kAllStarted:
-        ready_steps_.erase(ref);
+        RemoveReadyStep(ready_steps_.find(ref));
         break;
       case StepStart::kNoWorker:
         AddWaitEvent(ref, now, "no eligible worker has enough free resources");
@@ -369,27 +367,29 @@
                                                    : StepStart::kNoWorker;
   }
   StepStart result = StepStart::kAllStarted;
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    Task& task = step.tasks[i];
-    if (task.phase != TaskPhase::kReady) continue;
-    name.index = static_cast<int>(i);
+  step.tasks.VisitReady([&](int index) {
+    name.index = index;
+    // All tasks need the same, so that the others need not be searched for.
+    // Those that have not changed hold no worker.
+    if (result == StepStart::kNoWorker) {
+      if (!step.tasks.HasChanged(index)) return false;
+      if (!HoldsWorkerFor(name, now)) return true;
+    }
     if (!EarlierRunsKnown(job, name)) {
       if (result == StepStart::kAllStarted) result = StepStart::kRunsUnknown;
-      continue;
+      return true;
     }
-    // All tasks need the same, so that the others need not be searched for.
-    if (result == StepStart::kNoWorker && !HoldsWorkerFor(name, now)) continue;
     Worker* worker = WorkerFor(job, name, step, now);
     if (worker == nullptr) {
       result = StepStart::kNoWorker;
-      continue;
-    }
-    if (IsRetryDelayed(name, *worker, now)) {
-      if (result == StepStart::kAllStarted) result = StepStart::kRetryDelayed;
-      continue;
+    } else if (!IsRetryDelayed(name, *worker, now)) {
+      orders.emplace_back(
+          PlaceRun(*worker, job, name, step.tasks.Edit(index), now));
+    } else if (result == StepStart::kAllStarted) {
+      result = StepStart::kRetryDelayed;
     }
-    orders.emplace_back(PlaceRun(*worker, job, name, task, now));
-  }
+    return true;
+  });
   return result;
 }
 
@@ -399,7 +399,8 @@
                            Time now, std::vector<Order>& orders) {
   std::uint64_t last_run = 0;
   Checkpoint checkpoint;
-  for (const Task& task : step.tasks) {
+  for (int i = 0; i < step.tasks.size(); ++i) {
+    const Task& task = step.tasks[i];
     if (task.phase != TaskPhase::kReady) return false;
     if (task.last_run >= last_run && !task.checkpoint.empty()) {
       checkpoint = task.checkpoint;
@@ -412,19 +413,23 @@
     /// Reservation that the start has used, and its worker.
     WorkerId reserved_on;
     std::optional<Reservation> reservation;
+    bool had_changed = false;
   };
   std::vector<Placement> placed;
   std::vector<Order> starts;
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+  for (int i = 0; i < step.tasks.size(); ++i) {
     TaskName name = first;
-    name.index = static_cast<int>(i);
-    Task& task = step.tasks[i];
+    name.index = i;
     Worker* worker = WorkerFor(job, name, step, now);
     if (worker == nullptr) {
       for (const Placement& placement : placed) {
         const TaskName& member = placement.member;
         UnbindRun(*placement.worker, member);
-        Task& rolled_back = step.tasks[static_cast<std::size_t>(member.index)];
+        if (!placement.had_changed) {
+          step.tasks.Revert(member.index);
+          continue;
+        }
+        Task& rolled_back = step.tasks.Edit(member.index);
         rolled_back.phase = TaskPhase::kReady;
         rolled_back.last_run = last_run;
         if (!placement.reservation) continue;
@@ -434,12 +439,15 @@
       }
       return false;
     }
+    const bool had_changed = step.tasks.HasChanged(i);
+    Task& task = step.tasks.Edit(i);
     task.last_run = last_run;
     task.checkpoint = checkpoint;
     Placement placement{.worker = worker,
                         .member = name,
                         .reserved_on = task.reserved_on,
-                        .reservation = ReservationOf(name, task)};
+                        .reservation = ReservationOf(name, task),
+                        .had_changed = had_changed};
     starts.emplace_back(PlaceRun(*worker, job, name, task, now));
     placed.push_back(std::move(placement));
   }
@@ -450,7 +458,7 @@
 Dispatcher::Worker* Dispatcher::WorkerFor(Job& job, const TaskName& name,
                                           Step& step, Time now) {
   const StepSpec& spec = job.spec_of(name);
-  Task& task = step.tasks[static_cast<std::size_t>(name.index)];
+  const Task& task = step.tasks[name.index];
   PlacementRequest request = RequestFor(job, name, step);
   Worker* reserved =
       HoldsWorkerFor(name, now) ? workers_.Find(task.reserved_on) : nullptr;
--- a/gypsumfall/dispatch/dispatcher_reservations.cc
+++ b/gypsumfall/dispatch/dispatcher_reservations.cc
@@ -44,7 +44,7 @@
                                                     const TaskName& name,
                                                     const Step& step) {
   const StepSpec& spec = job.spec_of(name);
-  const Task& task = step.tasks[static_cast<std::size_t>(name.index)];
+  const Task& task = step.tasks[name.index];
   PlacementRequest request{.task = name,
                            .spec = &spec,
                            .step = &step,
@@ -60,14 +60,19 @@
 // Releases the reservations of a worker that is removed.
 void Dispatcher::ReleaseAllReservations(Worker& worker) {
   for (const auto& [name, reservation] : worker.reservations) {
-    Task* task = jobs_.FindTask(name);
-    if (task != nullptr && task->reserved_on == worker.entry.id)
-      task->reserved_on = WorkerId();
+    ForgetReservation(name, worker.entry.id);
   }
   worker.reservations.clear();
   worker.reserved = {};
 }
 
+void Dispatcher::ForgetReservation(const TaskName& name,
+                                   const WorkerId& worker) {
+  const Task* task = jobs_.FindTask(name);
+  if (task != nullptr && task->reserved_on == worker)
+    jobs_.EditTask(name)->reserved_on = WorkerId();
+}
+
 void Dispatcher::ReleaseReservationOf(const TaskName& name, Task& task) {
   if (task.reserved_on.empty()) return;
   if (Worker* worker = workers_.Find(task.reserved_on))
@@ -103,9 +108,7 @@
     }
     for (const TaskName& name : unusable) {
       ReleaseReservation(worker, name);
-      Task* task = jobs_.FindTask(name);
-      if (task != nullptr && task->reserved_on == id)
-        task->reserved_on = WorkerId();
+      ForgetReservation(name, id);
     }
   }
 }
@@ -125,7 +128,7 @@
   if (!budget.TryAcquire(now)) return;
   Step& step = StepOf(job, name);
   PlacementRequest request = RequestFor(job, name, step);
-  Task& task = step.tasks[static_cast<std::size_t>(name.index)];
+  const Task& task = step.tasks[name.index];
   // A task that starves waits for its rack no longer than `WorkerFor` does.
   if (task.phase == TaskPhase::kReady &&
       now >= task.ready_since + request.spec->declared_run_time) {
@@ -142,7 +145,7 @@
            .priority = request.priority,
            .until =
                now + kReservationSlack + TimeUntilFits(*worker, request, now)});
-  task.reserved_on = worker->entry.id;
+  step.tasks.Edit(name.index).reserved_on = worker->entry.id;
   AddEvent("worker reserved", name, RunNumber(), worker->entry.id,
            "needs " + request.spec->need.ToString() + ", left after it " +
                FreeResources(*worker).ToString());
@@ -154,7 +157,7 @@
 // the reservation holds against every priority.
 void Dispatcher::KeepPlace(Worker& worker, const TaskName& name, Time now) {
   Job* job = jobs_.Find(name.job);
-  Task* task = jobs_.FindTask(name);
+  const Task* task = jobs_.FindTask(name);
   if (job == nullptr || task == nullptr) return;
   const StepSpec& spec = job->spec_of(name);
   if (!spec.long_running || spec.best_effort) return;
@@ -173,7 +176,7 @@
            .priority = dispatch_internal::kHighestPriority,
            .until = now + kReservationSlack,
            .committed = true});
-  task->reserved_on = worker.entry.id;
+  jobs_.EditTask(name)->reserved_on = worker.entry.id;
 }
 
 // Without a reservation, smaller tasks use each resource as it becomes free,
@@ -184,28 +187,29 @@
   Step& step = StepOf(job, name);
   const StepSpec& spec = job.spec_of(name);
   if (!spec.long_running || spec.best_effort) return;
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    const Task& task = step.tasks[i];
-    if (task.phase != TaskPhase::kReady || !task.reserved_on.empty()) continue;
-    if (now < task.ready_since + kWaitBeforeReservation) continue;
-    name.index = static_cast<int>(i);
-    if (!EarlierRunsKnown(job, name)) continue;
+  step.tasks.VisitReady([&](int index) {
+    const Task& task = step.tasks[index];
+    if (!task.reserved_on.empty()) return true;
+    if (now < task.ready_since + kWaitBeforeReservation) return true;
+    name.index = index;
+    if (!EarlierRunsKnown(job, name)) return true;
     ReserveWorker(job, name, starving_task_searches_, now);
     // The other tasks need the same.
-    if (task.reserved_on.empty()) return;
-  }
+    return !step.tasks[index].reserved_on.empty();
+  });
 }
 
 // Returns whether a ready task of the step could start on a reserved worker.
 bool Dispatcher::HoldsWorkerForAny(const StepRef& ref, Time now) {
   TaskName name{ref.job, ref.occurrence, ref.step, 0};
-  const Step& step = StepOf(*jobs_.Find(ref.job), name);
-  for (const Task& task : step.tasks) {
-    if (task.phase == TaskPhase::kReady && HoldsWorkerFor(name, now))
-      return true;
-    ++name.index;
-  }
-  return false;
+  bool holds_worker = false;
+  StepOf(*jobs_.Find(ref.job), name)
+      .tasks.VisitChanged([&](int index, const Task& task) {
+        name.index = index;
+        holds_worker = holds_worker || (task.phase == TaskPhase::kReady &&
+                                        HoldsWorkerFor(name, now));
+      });
+  return holds_worker;
 }
 
 // Returns whether a worker is reserved for the task and could start it now.
--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -34,9 +34,9 @@
 using dispatch_internal::Reserve;
 using dispatch_internal::TaskPhase;
 
-Dispatcher::Task* Dispatcher::FindTransferable(const TaskName& name) {
+const Dispatcher::Task* Dispatcher::FindTransferable(const TaskName& name) {
   const Job* job = jobs_.Find(name.job);
-  Task* task = jobs_.FindTask(name);
+  const Task* task = jobs_.FindTask(name);
   if (job == nullptr || task == nullptr || job->slice.IsWhole() ||
       IsFinal(job->state) || task->phase != TaskPhase::kReady) {
     return nullptr;
@@ -51,19 +51,21 @@
                                                   std::size_t limit) {
   std::vector<TaskName> names;
   for (const StepRef& ref : ready_steps_) {
-    const Job* job = jobs_.Find(ref.job);
+    Job* job = FindJobOf(ref);
     if (job == nullptr || job->slice.IsWhole()) continue;
     TaskName name{ref.job, ref.occurrence, ref.step, 0};
-    const int count = job->spec_of(name).task_count;
-    for (; name.index < count; ++name.index) {
+    StepOf(*job, name).tasks.VisitReady([&](int index) {
+      name.index = index;
       const Task* task = FindTransferable(name);
-      if (task == nullptr) continue;
+      if (task == nullptr) return true;
       const Duration wait = task->reserved_on.empty()
                                 ? kWaitBeforeTransfer
                                 : kReservedWaitBeforeTransfer;
       if (now >= task->ready_since + wait) names.push_back(name);
-    }
+      return true;
+    });
   }
+  std::sort(names.begin(), names.end());
   TaskName& last_offered = last_offered_[other];
   std::rotate(names.begin(),
               std::upper_bound(names.begin(), names.end(), last_offered),
@@ -75,11 +77,13 @@
 
 bool Dispatcher::ReservePlace(const TaskName& name, Time now) {
   Job* job = jobs_.Find(name.job);
-  Task* task = jobs_.FindTask(name);
-  if (job == nullptr || task == nullptr || job->slice.IsWhole() ||
-      IsFinal(job->state) || task->phase != TaskPhase::kExcluded) {
+  if (job == nullptr || job->slice.IsWhole() || IsFinal(job->state) ||
+      !job->HasTask(name) || job->IsCompleted(name.occurrence)) {
     return false;
   }
+  job->Open(name.occurrence);
+  if (jobs_.FindTask(name)->phase != TaskPhase::kExcluded) return false;
+  Task* task = jobs_.EditTask(name);
   // The task could not start here before the reservation ends.
   if (job->record.accepted_epoch < epoch_ && !predecessor_runs_known_)
     return false;
@@ -97,8 +101,8 @@
 }
 
 bool Dispatcher::TransferTask(const TaskName& name, ShardId shard) {
-  Task* task = FindTransferable(name);
-  if (task == nullptr) return false;
+  if (FindTransferable(name) == nullptr) return false;
+  Task* task = jobs_.EditTask(name);
   ReleaseReservationOf(name, *task);
   // Not started here from now on, although the transfer may not get stored:
   // that happens only if another leader replaces this one.
@@ -119,9 +123,14 @@
 
 void Dispatcher::ApplyTransfer(const TaskTransfer& transfer, Time now) {
   Job* job = jobs_.Find(transfer.task.job);
-  Task* task = jobs_.FindTask(transfer.task);
-  if (job == nullptr || task == nullptr || job->slice.IsWhole()) return;
-  if (transfer.number <= task->transfer_number) return;
+  if (job == nullptr || job->slice.IsWhole() || IsFinal(job->state) ||
+      !job->HasTask(transfer.task) ||
+      job->IsCompleted(transfer.task.occurrence)) {
+    return;
+  }
+  job->Open(transfer.task.occurrence);
+  Task* task = jobs_.EditTask(transfer.task);
+  if (task == nullptr || transfer.number <= task->transfer_number) return;
   if (transfer.shard == settings_.shard && HasUnexpectedRun(transfer.task)) {
     deferred_transfers_.push_back(transfer);
     return;
@@ -142,7 +151,6 @@
                             transfer.last_run.value() + epochs * kRunsPerEpoch);
   task->checkpoint = transfer.checkpoint;
   task->phase = TaskPhase::kBlocked;
-  if (IsFinal(job->state)) return;
   AddEvent("task transferred to this shard", transfer.task, transfer.last_run,
            task->reserved_on);
   if (StepOf(*job, transfer.task).unblocked)
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -99,6 +99,11 @@
   /// Runs of long-running tasks on draining workers.
   int long_running_on_draining = 0;
   std::size_t waiting_steps = 0;
+  /// What the memory for jobs depends on: the known jobs, ended ones included,
+  /// the occurrences that have begun, and the tasks that have had a run there.
+  std::size_t jobs = 0;
+  std::size_t open_occurrences = 0;
+  std::size_t changed_tasks = 0;
   /// Long-running tasks that are ready and have no run.
   int waiting_long_running = 0;
   /// Longest current wait of such a task.
@@ -256,15 +261,21 @@
   // Jobs.
   /// @return the job, or null if its id is already known.
   Job* AddJob(JobRecord record, JobSlice slice, Time now, WallTime wall_now);
-  void UnblockSteps(Job& job, Time now);
+  /// Opens the occurrences of the job that are due, and queues the job for the
+  /// next one. Only a limited number of steps wait for workers at a time, so
+  /// that state follows the runs and not the occurrences that are due.
+  void OpenDueOccurrences(Job& job, Time now);
   void UnblockDueJobs(Time now);
+  /// Makes the tasks ready of those steps of an occurrence whose dependencies
+  /// are done.
+  void UnblockSteps(Job& job, int occurrence, Time now);
   void MakeReady(const TaskName& name, Task& task, Time now);
-  void MarkTaskDone(Job& job, const TaskName& name, Task& task);
+  void MarkTaskDone(Job& job, const TaskName& name);
   void MarkGangDone(Job& job, const TaskName& name);
   void RecordTaskFailure(Job& job, const TaskName& name, Task& task,
                          RunNumber run, const WorkerId& worker);
-  void CompleteOccurrence(Job& job, int occurrence);
-  void MakeChunksObsolete(Job& job, int occurrence);
+  void CompleteOccurrence(Job& job, int number);
+  static void MakeChunksObsolete(Job& job, int number, Occurrence& occurrence);
   void AdvanceJob(Job& job, const TaskName& name, Time now, WallTime wall_now);
   void EndJob(Job& job, JobState state, Time now, WallTime wall_now);
   /// Queue a row for the next batch of records, unless it is queued.
@@ -359,6 +370,14 @@
                     Time now) const;
   /// Updates the ratio of actual to declared run times of a queue.
   void LearnRunTime(const Job& job, const Run& run, Time now);
+  /// Adds a step to those with ready tasks.
+  void AddReadyStep(Job& job, const StepRef& ref, Time now);
+  /// Removes a step from those with ready tasks.
+  /// @return the next of these.
+  std::set<StepRef>::iterator RemoveReadyStep(std::set<StepRef>::iterator step);
+  /// @return the job of a step with ready tasks, or null if the job or its
+  ///   occurrence has ended since.
+  Job* FindJobOf(const StepRef& ref);
   std::vector<StepRef> RankSteps(Time now);
   void AddStartOrders(Time now, std::vector<Order>& orders);
   void AddWaitEvent(const StepRef& ref, Time now, std::string_view reason);
@@ -396,6 +415,8 @@
   void DropUnusableReservations(Time now);
   void ReleaseAllReservations(Worker& worker);
   void ReleaseReservationOf(const TaskName& name, Task& task);
+  /// Notes that the worker is no longer reserved for the task.
+  void ForgetReservation(const TaskName& name, const WorkerId& worker);
   std::optional<dispatch_internal::Reservation> ReservationOf(
       const TaskName& name, const Task& task);
   void ReserveWorker(Job& job, const TaskName& name, SearchBudget& budget,
@@ -411,7 +432,7 @@
 
   // Transfers.
   /// @return the waiting task of a sliced job, or null.
-  Task* FindTransferable(const TaskName& name);
+  const Task* FindTransferable(const TaskName& name);
   void RemoveTransfersOf(const JobId& job);
   /// @return whether a worker reports a run of the task that this dispatcher
   ///   has not started and is stopping.
@@ -445,8 +466,10 @@
   /// from being searched for.
   SearchBudget starving_task_searches_;
   SearchBudget move_searches_;
-  /// Times at which further occurrences of jobs are due.
+  /// Times at which the next occurrences of jobs are due, one for each job.
   std::multimap<Time, JobId> due_occurrences_;
+  /// Jobs with due occurrences that are not open, because enough steps wait.
+  std::set<JobId> backlogged_jobs_;
 
   std::uint64_t next_record_sequence_ = 1;
   std::uint64_t stored_record_sequence_ = 0;
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -1,9 +1,9 @@
 #ifndef GYPSUMFALL_DISPATCH_INTERNAL_JOB_TABLE_H_
 #define GYPSUMFALL_DISPATCH_INTERNAL_JOB_TABLE_H_
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,73 +11,14 @@
 #include <vector>
 
 #include "gypsumfall/base/base.h"
+#include "gypsumfall/dispatch/internal/step_tasks.h"
 #include "gypsumfall/jobs/jobs.h"
 
 namespace gypsumfall::dispatch_internal {
 
-/// Distance between the run numbers of consecutive epochs. A later epoch uses
-/// higher numbers than earlier ones without knowing which they used.
-inline constexpr std::uint64_t kRunsPerEpoch = 1024;
-
-enum class TaskPhase {
-  /// Waits for earlier steps or for the time its occurrence is due.
-  kBlocked,
-  kReady,
-  /// A run of the task is bound to a worker.
-  kBound,
-  kDone,
-  /// Run by another shard: outside the slice of this dispatcher, or
-  /// transferred.
-  kExcluded,
-};
-
-/// State of one task.
-struct Task {
-  TaskPhase phase = TaskPhase::kBlocked;
-  /// Numbers of the latest runs that failed; a completion that is reported
-  /// again counts once.
-  std::vector<std::uint64_t> failed_runs;
-  /// Number of failed runs before these.
-  int forgotten_failures = 0;
-  /// Highest run number that was used or may have been used.
-  std::uint64_t last_run = 0;
-  Checkpoint checkpoint;
-  /// Time since which the task waits for a run. A run of a long-running task
-  /// that ends early does not end the wait.
-  Time ready_since{};
-  /// Time at which the latest run ended or was given up.
-  Time last_end{};
-  /// Workers that the next run avoids: the one of the latest run that failed;
-  /// for a long-running task those on which a run failed early, or a start
-  /// order was not answered, in the current wait, once for each such run.
-  std::vector<WorkerId> failed_on;
-  /// Worker that holds a reservation for the task; empty if none does.
-  WorkerId reserved_on;
-  /// This epoch has bound a run of the task to a worker.
-  bool bound_in_epoch = false;
-  /// Number of the latest known transfer of the task; 0 if there is none.
-  std::uint64_t transfer_number = 0;
-
-  int failures() const {
-    return forgotten_failures + static_cast<int>(failed_runs.size());
-  }
-  /// Counts the failure of a run, unless it is counted already.
-  /// @return whether it was not counted yet.
-  bool CountFailure(std::uint64_t run);
-  std::ptrdiff_t CountFailuresOn(const WorkerId& worker) const {
-    return std::count(failed_on.begin(), failed_on.end(), worker);
-  }
-  bool Avoids(const WorkerId& worker) const {
-    return CountFailuresOn(worker) > 0;
-  }
-};
-
 /// State of one step of one occurrence.
 struct Step {
-  std::vector<Task> tasks;
-  /// Number of tasks that are done.
-  int done = 0;
-  int ready = 0;
+  StepTasks tasks;
   /// All steps it depends on are done and its occurrence is due.
   bool unblocked = false;
   /// Time since which a task of the step is ready.
@@ -105,7 +46,6 @@
 
 /// State of one repetition of a job.
 struct Occurrence {
-  Time due{};
   int steps_done = 0;
   std::vector<Step> steps;
   /// Rows with the progress of the tasks, by number of the chunk.
@@ -135,16 +75,42 @@
   ProgressRow row;
   /// Rows to remove once `row` is stored.
   std::vector<ProgressRowId> obsolete_rows;
-  std::vector<Occurrence> occurrences;
+  /// Occurrences that have begun and are not completed. Those that are due
+  /// later need no state, and those that are completed no other.
+  std::map<int, Occurrence> occurrences;
   /// Occurrences of which all steps are done.
   BitSet completed;
+  /// Number of the first occurrence that has not been unblocked. It and later
+  /// ones are open only if an earlier epoch has begun them.
+  int next_occurrence = 0;
+  /// Steps with ready tasks.
+  int waiting_steps = 0;
+  /// The dispatcher opens the next occurrence when it is due.
+  bool due_queued = false;
+  /// Time at which the job was added, and the time from then until its first
+  /// occurrence is due.
+  Time added{};
+  WallTime first_due_after{0};
+  /// Highest run number that earlier epochs may have used.
+  std::uint64_t last_run_of_earlier_epochs = 0;
 
   bool IsCompleted(int occurrence) const {
     return completed[static_cast<std::size_t>(occurrence)];
   }
+  /// @return whether the job has a task of this name.
+  bool HasTask(const TaskName& name) const;
+  Time DueOf(int occurrence) const;
+  /// @return the step, or null if its occurrence is not open.
+  Step* FindStep(const TaskName& name);
+  const Step* FindStep(const TaskName& name) const;
+  /// @return the state of the occurrence, which is added if it is not open.
+  Occurrence& Open(int occurrence);
+  /// Removes all state that an ended job does not need.
+  void RemoveTasks();
   /// @return the number of the chunk with the task.
   int ChunkOf(const TaskName& name) const;
-  /// @return the row with the progress of the task.
+  /// @return the row with the progress of the task; its occurrence must be
+  ///   open.
   ProgressRow& RowOf(const TaskName& name);
   const StepSpec& spec_of(const TaskName& name) const {
     return record.spec.steps[static_cast<std::size_t>(name.step)];
@@ -167,8 +133,12 @@
 
   Job* Find(const JobId& id);
   const Job* Find(const JobId& id) const;
-  /// @return the task, or null if the job or the task does not exist.
-  Task* FindTask(const TaskName& name);
+  /// @return the task, or null if the job does not exist or the occurrence is
+  ///   not open.
+  const Task* FindTask(const TaskName& name) const;
+  /// @return the task, whose state is kept from now on, or null as before and
+  ///   if the task is done.
+  Task* EditTask(const TaskName& name);
 
   /// @return the progress of a job, or of a chunk of its tasks, in the form in
   ///   which it is stored.
--- a/gypsumfall/dispatch/job_table.cc
+++ b/gypsumfall/dispatch/job_table.cc
@@ -1,48 +1,15 @@
 #include "gypsumfall/dispatch/internal/job_table.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace gypsumfall::dispatch_internal {
 namespace {
 
-void ExcludeOtherSlices(const JobSlice& slice, Occurrence& occurrence) {
-  std::uint64_t position = 0;
-  for (Step& step : occurrence.steps) {
-    for (Task& task : step.tasks) {
-      if (!slice.Contains(position++)) task.phase = TaskPhase::kExcluded;
-    }
-  }
-}
-
-int ChunkCount(const JobRecord& record) {
-  int tasks = 0;
-  for (const StepSpec& step : record.spec.steps) tasks += step.task_count;
-  const int size = TasksPerChunk(record.terms);
-  return (tasks + size - 1) / size;
-}
-
-void MakeOccurrences(Job& job, Time now, WallTime wall_now) {
-  const JobSpec& spec = job.record.spec;
-  job.occurrences.resize(static_cast<std::size_t>(spec.occurrence_count()));
-  job.completed.resize(job.occurrences.size());
-  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-    Occurrence& occurrence = job.occurrences[k];
-    occurrence.due = now;
-    if (spec.repetitions > 0) {
-      const WallTime due =
-          spec.first_due + spec.interval * static_cast<std::int64_t>(k);
-      occurrence.due = now + (due - wall_now);
-    }
-    occurrence.steps.resize(spec.steps.size());
-    for (std::size_t s = 0; s < spec.steps.size(); ++s) {
-      occurrence.steps[s].tasks.resize(
-          static_cast<std::size_t>(spec.steps[s].task_count));
-    }
-    occurrence.chunks.resize(static_cast<std::size_t>(ChunkCount(job.record)));
-    ExcludeOtherSlices(job.slice, occurrence);
-  }
-}
+// Durations are clamped to this, so that times far in the future, which a job
+// may name, do not overflow.
+constexpr double kMaxMilliseconds = 1e15;
 
 // Calls `visit` with the number in the chunk and the step and index of each
 // task of the chunk.
@@ -54,75 +21,53 @@
   for (std::size_t s = 0; s < record.spec.steps.size(); ++s) {
     const int count = record.spec.steps[s].task_count;
     for (int i = skipped; i < count && number < size; ++i)
-      visit(number++, s, static_cast<std::size_t>(i));
+      visit(number++, s, i);
     skipped = std::max(0, skipped - count);
   }
 }
 
-void MarkDone(Step& step, std::size_t index) {
-  if (step.tasks[index].phase == TaskPhase::kDone) return;
-  step.tasks[index].phase = TaskPhase::kDone;
-  ++step.done;
-}
-
-void MarkCompleted(Job& job, std::size_t k) {
-  job.completed.set(k);
-  Occurrence& occurrence = job.occurrences[k];
-  for (Step& step : occurrence.steps) {
-    for (std::size_t i = 0; i < step.tasks.size(); ++i) MarkDone(step, i);
-  }
+int ChunkCount(const JobRecord& record) {
+  int tasks = 0;
+  for (const StepSpec& step : record.spec.steps) tasks += step.task_count;
+  const int size = TasksPerChunk(record.terms);
+  return (tasks + size - 1) / size;
 }
 
 // One end of a member is that of the whole gang, but its tasks may be in
 // several chunks of which not all were stored.
 void CompleteGang(const StepSpec& spec, Step& step) {
-  if (!spec.gang || step.done == 0) return;
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) MarkDone(step, i);
+  if (!spec.gang || step.tasks.done() == 0) return;
+  for (int i = 0; i < step.tasks.size(); ++i) step.tasks.MarkDone(i);
 }
 
 // Counts the steps that are done after progress was restored.
-void CountStepsDone(Job& job, std::size_t k) {
-  Occurrence& occurrence = job.occurrences[k];
+void CountStepsDone(Job& job, int occurrence_number) {
+  Occurrence& occurrence = job.Open(occurrence_number);
   occurrence.steps_done = 0;
   for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
     Step& step = occurrence.steps[s];
     CompleteGang(job.record.spec.steps[s], step);
-    if (step.done == static_cast<int>(step.tasks.size()))
-      ++occurrence.steps_done;
+    if (step.tasks.AllDone()) ++occurrence.steps_done;
   }
-  if (occurrence.steps_done == static_cast<int>(occurrence.steps.size()))
-    job.completed.set(k);
+  if (occurrence.steps_done < static_cast<int>(occurrence.steps.size())) return;
+  job.completed.set(static_cast<std::size_t>(occurrence_number));
+  job.occurrences.erase(occurrence_number);
 }
 
 void RestoreStep(const StepProgress& stored, Step& step) {
-  const std::size_t count = std::min(stored.done.size(), step.tasks.size());
-  for (std::size_t i = 0; i < count; ++i) {
-    if (stored.done[i] == '1') MarkDone(step, i);
-  }
-  for (std::size_t i = 0;
-       i < std::min(stored.failed_runs.size(), step.tasks.size()); ++i) {
-    for (const std::uint64_t run : stored.failed_runs[i])
-      step.tasks[i].CountFailure(run);
+  for (int i = 0; i < step.tasks.size(); ++i) {
+    const auto position = static_cast<std::size_t>(i);
+    if (position < stored.done.size() && stored.done[position] == '1') {
+      step.tasks.MarkDone(i);
+    } else if (position < stored.failed_runs.size()) {
+      for (const std::uint64_t run : stored.failed_runs[position])
+        step.tasks.Edit(i).CountFailure(run);
+    }
   }
 }
 
 }  // namespace
 
-bool Task::CountFailure(std::uint64_t run) {
-  const auto oldest = std::min_element(failed_runs.begin(), failed_runs.end());
-  if (forgotten_failures > 0 && run < *oldest) return false;
-  if (std::find(failed_runs.begin(), failed_runs.end(), run) !=
-      failed_runs.end()) {
-    return false;
-  }
-  if (failed_runs.size() == kMaxFailedRuns) {
-    failed_runs.erase(oldest);
-    ++forgotten_failures;
-  }
-  failed_runs.push_back(run);
-  return true;
-}
-
 int Job::ChunkOf(const TaskName& name) const {
   int position = name.index;
   for (int s = 0; s < name.step; ++s)
@@ -131,10 +76,60 @@
 }
 
 ProgressRow& Job::RowOf(const TaskName& name) {
-  return occurrences[static_cast<std::size_t>(name.occurrence)]
+  return occurrences.at(name.occurrence)
       .chunks[static_cast<std::size_t>(ChunkOf(name))];
 }
 
+bool Job::HasTask(const TaskName& name) const {
+  return name.occurrence >= 0 &&
+         name.occurrence < record.spec.occurrence_count() && name.step >= 0 &&
+         static_cast<std::size_t>(name.step) < record.spec.steps.size() &&
+         name.index >= 0 && name.index < spec_of(name).task_count;
+}
+
+Time Job::DueOf(int occurrence) const {
+  if (record.spec.repetitions == 0) return added;
+  const double after = static_cast<double>(first_due_after.count()) +
+                       static_cast<double>(record.spec.interval.count()) *
+                           static_cast<double>(occurrence);
+  return added + milliseconds(static_cast<std::int64_t>(
+                     std::clamp(after, -kMaxMilliseconds, kMaxMilliseconds)));
+}
+
+Step* Job::FindStep(const TaskName& name) {
+  const auto found = occurrences.find(name.occurrence);
+  return found == occurrences.end()
+             ? nullptr
+             : &found->second.steps[static_cast<std::size_t>(name.step)];
+}
+
+const Step* Job::FindStep(const TaskName& name) const {
+  return const_cast<Job*>(this)->FindStep(name);
+}
+
+Occurrence& Job::Open(int occurrence) {
+  const auto [found, inserted] = occurrences.try_emplace(occurrence);
+  if (!inserted) return found->second;
+  found->second.chunks.resize(static_cast<std::size_t>(ChunkCount(record)));
+  std::uint64_t position = 0;
+  for (const StepSpec& step : record.spec.steps) {
+    found->second.steps.push_back(
+        {.tasks = StepTasks(step.task_count,
+                            Task{.last_run = last_run_of_earlier_epochs}, slice,
+                            position)});
+    position += static_cast<std::uint64_t>(step.task_count);
+  }
+  return found->second;
+}
+
+void Job::RemoveTasks() {
+  // An assignment would keep the memory of the payload.
+  const JobSpec spec = std::exchange(record.spec, {});
+  remaining_critical_paths = {};
+  occurrences.clear();
+  completed = BitSet();
+}
+
 Job* JobTable::Add(JobRecord record, JobSlice slice, Time now,
                    WallTime wall_now) {
   const auto [found, inserted] = jobs_.try_emplace(record.id);
@@ -147,7 +142,10 @@
   job.submitted = now - age;
   job.objective = job.submitted + job.record.terms.objective;
   job.remaining_critical_paths = RemainingCriticalPaths(job.record.spec);
-  MakeOccurrences(job, now, wall_now);
+  job.added = now;
+  job.first_due_after = job.record.spec.first_due - wall_now;
+  job.completed.resize(
+      static_cast<std::size_t>(job.record.spec.occurrence_count()));
   return &job;
 }
 
@@ -160,46 +158,50 @@
   const std::size_t completed =
       std::min(progress.completed.size(), job->completed.size());
   for (std::size_t k = 0; k < completed; ++k) {
-    if (progress.completed[k]) MarkCompleted(*job, k);
+    if (progress.completed[k]) job->completed.set(k);
   }
+  std::set<int> occurrences;
   for (const StepProgress& stored : progress.steps) {
-    const auto k = static_cast<std::size_t>(stored.occurrence);
-    const auto s = static_cast<std::size_t>(stored.step);
-    if (k >= job->occurrences.size()) continue;
-    Occurrence& occurrence = job->occurrences[k];
-    if (s >= occurrence.steps.size()) continue;
-    RestoreStep(stored, occurrence.steps[s]);
-    CountStepsDone(*job, k);
+    const TaskName first{progress.id, stored.occurrence, stored.step, 0};
+    if (!job->HasTask(first) || job->IsCompleted(stored.occurrence)) continue;
+    RestoreStep(stored, job->Open(stored.occurrence)
+                            .steps[static_cast<std::size_t>(stored.step)]);
+    occurrences.insert(stored.occurrence);
   }
+  for (const int occurrence : occurrences) CountStepsDone(*job, occurrence);
 }
 
 void JobTable::Restore(const ChunkProgress& progress) {
   Job* job = Find(progress.row.job);
   if (job == nullptr) return;
-  const auto k = static_cast<std::size_t>(progress.row.occurrence);
-  const auto chunk = static_cast<std::size_t>(progress.row.chunk);
-  if (k >= job->occurrences.size()) return;
-  Occurrence& occurrence = job->occurrences[k];
-  if (chunk >= occurrence.chunks.size()) return;
+  const int number = progress.row.occurrence;
+  if (!job->HasTask({progress.row.job, number, 0, 0}) ||
+      progress.row.chunk >= ChunkCount(job->record)) {
+    return;
+  }
   job->started = true;
   job->state = job->visible_state = JobState::kRunning;
-  occurrence.chunks[chunk].stored = true;
-  std::vector<Task*> tasks;
+  Occurrence& occurrence = job->Open(number);
+  occurrence.chunks[static_cast<std::size_t>(progress.row.chunk)].stored = true;
+  std::vector<std::pair<std::size_t, int>> tasks;
   VisitChunk(job->record, progress.row.chunk,
-             [&](int number, std::size_t s, std::size_t i) {
-               const auto bit = static_cast<std::size_t>(number);
+             [&](int task, std::size_t s, int i) {
+               const auto bit = static_cast<std::size_t>(task);
                if (bit < progress.done.size() && progress.done[bit])
-                 MarkDone(occurrence.steps[s], i);
-               tasks.push_back(&occurrence.steps[s].tasks[i]);
+                 occurrence.steps[s].tasks.MarkDone(i);
+               tasks.emplace_back(s, i);
              });
   for (const TaskFailures& failures : progress.failures) {
-    const auto number = static_cast<std::size_t>(failures.task);
-    if (number >= tasks.size()) continue;
-    for (const std::uint64_t run : failures.runs)
-      tasks[number]->CountFailure(run);
-    tasks[number]->forgotten_failures += failures.forgotten;
+    const auto position = static_cast<std::size_t>(failures.task);
+    if (position >= tasks.size()) continue;
+    const auto [s, i] = tasks[position];
+    StepTasks& step_tasks = occurrence.steps[s].tasks;
+    if (step_tasks[i].phase == TaskPhase::kDone) continue;
+    Task& task = step_tasks.Edit(i);
+    for (const std::uint64_t run : failures.runs) task.CountFailure(run);
+    task.forgotten_failures += failures.forgotten;
   }
-  CountStepsDone(*job, k);
+  CountStepsDone(*job, number);
 }
 
 void JobTable::AddEnded(const JobProgress& progress) {
@@ -222,17 +224,17 @@
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-Task* JobTable::FindTask(const TaskName& name) {
-  Job* job = Find(name.job);
-  if (job == nullptr) return nullptr;
-  const auto k = static_cast<std::size_t>(name.occurrence);
-  const auto s = static_cast<std::size_t>(name.step);
-  const auto i = static_cast<std::size_t>(name.index);
-  if (k >= job->occurrences.size()) return nullptr;
-  Occurrence& occurrence = job->occurrences[k];
-  if (s >= occurrence.steps.size()) return nullptr;
-  Step& step = occurrence.steps[s];
-  return i < step.tasks.size() ? &step.tasks[i] : nullptr;
+const Task* JobTable::FindTask(const TaskName& name) const {
+  const Job* job = Find(name.job);
+  if (job == nullptr || !job->HasTask(name)) return nullptr;
+  const Step* step = job->FindStep(name);
+  return step == nullptr ? nullptr : &step->tasks[name.index];
+}
+
+Task* JobTable::EditTask(const TaskName& name) {
+  const Task* task = FindTask(name);
+  if (task == nullptr || task->phase == TaskPhase::kDone) return nullptr;
+  return &Find(name.job)->FindStep(name)->tasks.Edit(name.index);
 }
 
 JobProgress JobTable::ProgressOf(const Job& job) {
@@ -247,17 +249,15 @@
 
 ChunkProgress JobTable::ProgressOf(const Job& job, const ProgressRowId& row) {
   ChunkProgress progress{.row = row};
-  const Occurrence& occurrence =
-      job.occurrences[static_cast<std::size_t>(row.occurrence)];
-  VisitChunk(job.record, row.chunk,
-             [&](int number, std::size_t s, std::size_t i) {
-               const Task& task = occurrence.steps[s].tasks[i];
-               const bool done = task.phase == TaskPhase::kDone;
-               progress.done.push_back(done);
-               if (done || task.failed_runs.empty()) return;
-               progress.failures.push_back(
-                   {number, task.forgotten_failures, task.failed_runs});
-             });
+  const Occurrence& occurrence = job.occurrences.at(row.occurrence);
+  VisitChunk(job.record, row.chunk, [&](int number, std::size_t s, int i) {
+    const Task& task = occurrence.steps[s].tasks[i];
+    const bool done = task.phase == TaskPhase::kDone;
+    progress.done.push_back(done);
+    if (done || task.failed_runs.empty()) return;
+    progress.failures.push_back(
+        {number, task.forgotten_failures, task.failed_runs});
+  });
   return progress;
 }
 
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -62,6 +62,11 @@
           "shard_largest_free_millicores", ShardLabels(scope))),
       draining_workers_(context.metrics.AddGauge("shard_draining_workers",
                                                  ShardLabels(scope))),
+      jobs_(context.metrics.AddGauge("shard_jobs", ShardLabels(scope))),
+      open_occurrences_(context.metrics.AddGauge("shard_open_occurrences",
+                                                 ShardLabels(scope))),
+      changed_tasks_(
+          context.metrics.AddGauge("shard_changed_tasks", ShardLabels(scope))),
       waiting_long_running_(context.metrics.AddGauge(
           "shard_waiting_long_running_tasks", ShardLabels(scope))),
       longest_long_running_wait_(context.metrics.AddGauge(
@@ -385,6 +390,9 @@
   free_cpu_.Set(static_cast<double>(status.free.value()));
   largest_free_cpu_.Set(static_cast<double>(status.largest_free.value()));
   draining_workers_.Set(status.draining_workers);
+  jobs_.Set(static_cast<double>(status.jobs));
+  open_occurrences_.Set(static_cast<double>(status.open_occurrences));
+  changed_tasks_.Set(static_cast<double>(status.changed_tasks));
   waiting_long_running_.Set(status.waiting_long_running);
   longest_long_running_wait_.Set(wait.count());
   unplaceable_long_running_.Set(status.unplaceable_long_running);
@@ -399,6 +407,9 @@
              {"draining_workers", status.draining_workers},
              {"long_running_on_draining", status.long_running_on_draining},
              {"waiting_steps", status.waiting_steps},
+             {"jobs", status.jobs},
+             {"open_occurrences", status.open_occurrences},
+             {"changed_tasks", status.changed_tasks},
              {"waiting_long_running", status.waiting_long_running},
              {"unplaceable_long_running", status.unplaceable_long_running},
              {"largest_waiting_need", status.largest_waiting_need},
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -126,6 +126,9 @@
   Gauge& free_cpu_;
   Gauge& largest_free_cpu_;
   Gauge& draining_workers_;
+  Gauge& jobs_;
+  Gauge& open_occurrences_;
+  Gauge& changed_tasks_;
   Gauge& waiting_long_running_;
   Gauge& longest_long_running_wait_;
   Gauge& unplaceable_long_running_;
