Acknowledge the cancelling of an unknown job once nothing can store it

Cause: the record of a job is stored if its row does not exist. A write that the store has not answered may be carried out seconds later, when the host has already told another call that there is no such job: nothing that the 410 left behind made the condition of the write fail.

Evidence: the start could come from the late write, from a report that was under way to the leader, or from a leader that did not know the cancellation. The logs of the case show "request answered answer=unknown_job" on the host, then the late write (200) in the store, and "found an unreported job" and "starting run" on the leader 6 ms later; no report, no takeover.

Change: before a host answers 410 to a DELETE, it stores a marker in place of the record, under the same condition. A late write then conflicts; so does a submission that arrives later, which is answered 410 and not accepted. If the row exists, the job has been stored meanwhile and is cancelled as usual. With several shards a second marker does the same for sliced jobs. GET of such a job stays 410. The leader removes markers after the retention of ended jobs. A host reports a job that conflicts with its own earlier attempt only if the stored record is its own: another one may number the epochs differently.

Cost: one write for a DELETE of a job that nobody knows, two with several shards.

--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -106,6 +106,10 @@
   std::vector<StepProgress> steps;
   /// Occurrences of which all tasks are done. Their chunks have no rows.
   BitSet completed;
+  /// The job was cancelled before it was accepted. The row takes the place of
+  /// its record, so that a late write does not store the job; callers are told
+  /// that there is no such job.
+  bool never_accepted = false;
 };
 
 /// Moves a task of a sliced job to another shard. The shard that gives the task
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -126,6 +126,7 @@
     visit.WithDefault("steps", progress.steps);
   }
   OptionalField(visit, "completed", progress.completed);
+  OptionalField(visit, "never_accepted", progress.never_accepted);
 }
 
 template <typename Visitor>
--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -176,11 +176,7 @@
     case StoreOutcome::kDone:
       return OnAccepted(*exchange);
     case StoreOutcome::kConflict:
-      // An earlier attempt of this request may have stored the job without
-      // reporting it.
-      if (exchange->maybe_stored) return OnAccepted(*exchange);
-      Answer(*exchange, {.kind = CallerAnswer::Kind::kAccepted});
-      return;
+      return OnJobConflict(*exchange, reply.current);
     case StoreOutcome::kUnknown:
     case StoreOutcome::kHistoryGone:
       exchange->maybe_stored = true;
@@ -202,6 +198,21 @@
   }
 }
 
+void CallerService::OnJobConflict(Exchange& exchange,
+                                  const std::vector<StoredRow>& current) {
+  for (const StoredRow& row : current) {
+    if (DecodeNeverAccepted(row.value)) {
+      Answer(exchange, {.kind = CallerAnswer::Kind::kUnknownJob,
+                        .detail = "the job was cancelled"});
+      return;
+    }
+    // An earlier attempt of this request has stored the job and could not
+    // report it. The record of another request is not known here.
+    if (row.value == exchange.record_text) return OnAccepted(exchange);
+  }
+  Answer(exchange, {.kind = CallerAnswer::Kind::kAccepted});
+}
+
 void CallerService::OnAccepted(Exchange& exchange) {
   Answer(exchange, {.kind = CallerAnswer::Kind::kAccepted});
   // The leaders wait for changes of the table of sliced jobs.
@@ -279,7 +290,7 @@
   LoadState(
       exchange, [this, exchange, retry](const Result<JobStateReply>& stored) {
         if (stored && !stored->known) {
-          Answer(*exchange, {.kind = CallerAnswer::Kind::kUnknownJob});
+          RejectLateAcceptance(exchange);
         } else if (stored && IsFinal(stored->state)) {
           Answer(*exchange, {.kind = CallerAnswer::Kind::kCancelled});
         } else if (HasTimeToRetry(*exchange)) {
@@ -290,6 +301,54 @@
       });
 }
 
+// A write that was not answered may still store the job. The caller is told
+// that there is no such job only once no write can store it.
+void CallerService::RejectLateAcceptance(
+    const std::shared_ptr<Exchange>& exchange) {
+  const JobProgress marker{.id = exchange->request.job,
+                           .queue = exchange->request.queue,
+                           .state = JobState::kCancelled,
+                           .ended_at = context_.WallNow(),
+                           .steps = {},
+                           .never_accepted = true};
+  auto answer = [this, exchange] {
+    Answer(*exchange, {.kind = CallerAnswer::Kind::kUnknownJob});
+  };
+  StoreMarker(
+      exchange,
+      scheduler_internal::RejectLateAcceptance(exchange->shard->scope, marker),
+      [this, exchange, marker, answer] {
+        if (shards_->shards().size() == 1) return answer();
+        StoreMarker(exchange, RejectLateSlicedAcceptance(marker), answer);
+      });
+}
+
+void CallerService::StoreMarker(const std::shared_ptr<Exchange>& exchange,
+                                RowTransaction marker,
+                                std::function<void()> stored) {
+  context_.ports.store.transact(
+      std::move(marker), kReadTimeout,
+      [this, exchange,
+       stored = std::move(stored)](const TransactionReply& reply) {
+        // An earlier attempt, or another request, may have stored a marker.
+        const bool has_marker =
+            reply.outcome == StoreOutcome::kDone ||
+            (reply.outcome == StoreOutcome::kConflict &&
+             std::any_of(reply.current.begin(), reply.current.end(),
+                         [](const StoredRow& row) {
+                           return DecodeNeverAccepted(row.value).has_value();
+                         }));
+        if (has_marker) {
+          stored();
+        } else if (HasTimeToRetry(*exchange)) {
+          // The job may have been stored in the meantime.
+          RetryLater(exchange, [this, exchange] { CancelJob(exchange); });
+        } else {
+          RefuseTemporarily(*exchange, "the cancellation may not be stored");
+        }
+      });
+}
+
 void CallerService::QueryQueueLength(
     const std::shared_ptr<Exchange>& exchange) {
   peers_->QueryQueueLength(
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -170,6 +170,9 @@
   for (const ChunkProgress& stored_progress : loaded->chunk_progress) {
     dispatcher_->RestoreProgress(stored_progress);
   }
+  for (const JobProgress& marker : loaded->never_accepted) {
+    never_accepted_.insert_or_assign(marker.id, marker.ended_at);
+  }
   dispatcher_->RestoreRoster(loaded->roster, now);
   job_scan_version_ = loaded->version;
   sliced_version_ = loaded->sliced_version;
@@ -199,6 +202,7 @@
   job_scan_pending_ = false;
   sliced_read_pending_ = false;
   jobs_to_empty_.clear();
+  never_accepted_.clear();
   // The hosts that forwarded these cancellations time out and then call the
   // next leader.
   pending_cancels_.clear();
--- a/gypsumfall/scheduler/dispatch_service_jobs.cc
+++ b/gypsumfall/scheduler/dispatch_service_jobs.cc
@@ -74,6 +74,10 @@
   for (const StoredRow& row : rows) {
     if (row.removed || row.value.empty()) continue;
     if (dispatcher_->StateOf(JobId(row.address.key)).known) continue;
+    if (const auto marker = DecodeNeverAccepted(row.value)) {
+      never_accepted_.insert_or_assign(marker->id, marker->ended_at);
+      continue;
+    }
     Result<JobRecord> record = Decode<JobRecord>(row.value);
     if (!record) {
       log_.Error("cannot decode a stored job",
@@ -257,6 +261,43 @@
            dispatcher_->TakeExpired(kMaxRemovedRows, context_.WallNow()))) {
     RemoveRecords(std::move(rows));
   }
+  for (RowTransaction& rows :
+       RemoveJobsTransactions(scope_, ExpiredMarkers())) {
+    RemoveMarkers(std::move(rows));
+  }
+}
+
+WallTime DispatchService::ExpiredBefore() const {
+  return context_.WallNow() - std::chrono::duration_cast<WallTime>(
+                                  context_.settings.timings.ended_retention);
+}
+
+std::vector<JobId> DispatchService::ExpiredMarkers() const {
+  const WallTime expired_before = ExpiredBefore();
+  std::vector<JobId> expired;
+  for (const auto& [id, ended_at] : never_accepted_) {
+    if (expired.size() >= kMaxRemovedRows) break;
+    if (ended_at < expired_before) expired.push_back(id);
+  }
+  return expired;
+}
+
+void DispatchService::RemoveMarkers(RowTransaction rows) {
+  std::vector<JobId> ids;
+  for (const RowAddress& address : rows.removals) ids.emplace_back(address.key);
+  context_.ports.store.transact(
+      std::move(rows), kJobScanTimeout,
+      [this, ids = std::move(ids),
+       generation = generation_](const TransactionReply& reply) {
+        if (generation != generation_) return;
+        if (reply.outcome != StoreOutcome::kDone) {
+          log_.Info("markers of cancelled jobs are not removed; trying again",
+                    {{"shard", scope_.id},
+                     {"outcome", StoreOutcomeName(reply.outcome)}});
+          return;
+        }
+        for (const JobId& id : ids) never_accepted_.erase(id);
+      });
 }
 
 void DispatchService::RemoveRecords(RowTransaction rows) {
@@ -290,10 +331,7 @@
   LoadRows(context_, kCancelledSlicedJobTable, kSlicedJobPartition,
            kJobScanTimeout, [this](const LoadedRows& loaded) {
              if (loaded.outcome != StoreOutcome::kDone) return;
-             const WallTime expired_before =
-                 context_.WallNow() -
-                 std::chrono::duration_cast<WallTime>(
-                     context_.settings.timings.ended_retention);
+             const WallTime expired_before = ExpiredBefore();
              std::vector<JobId> expired;
              for (const StoredRow& row : loaded.rows) {
                if (expired.size() >= kMaxRemovedRows) break;
--- a/gypsumfall/scheduler/internal/caller_service.h
+++ b/gypsumfall/scheduler/internal/caller_service.h
@@ -37,6 +37,8 @@
   void OnAccepted(Exchange& exchange);
   void OnJobStored(const std::shared_ptr<Exchange>& exchange,
                    const TransactionReply& reply);
+  /// Answers a request whose job is stored already, or was cancelled.
+  void OnJobConflict(Exchange& exchange, const std::vector<StoredRow>& current);
   void QueryState(const std::shared_ptr<Exchange>& exchange);
   void ReadState(const std::shared_ptr<Exchange>& exchange);
   /// Reads the stored state of the request's job.
@@ -47,6 +49,10 @@
   void CancelJob(const std::shared_ptr<Exchange>& exchange);
   void OnCancelReply(const std::shared_ptr<Exchange>& exchange,
                      const Result<JobStateReply>& reply);
+  void RejectLateAcceptance(const std::shared_ptr<Exchange>& exchange);
+  /// @param stored called once the marker is stored.
+  void StoreMarker(const std::shared_ptr<Exchange>& exchange,
+                   RowTransaction marker, std::function<void()> stored);
   void QueryQueueLength(const std::shared_ptr<Exchange>& exchange);
   void RetryLater(const std::shared_ptr<Exchange>& exchange,
                   std::function<void()> retry);
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -85,6 +85,10 @@
   void RemoveExpiredSlicedJobs();
   void CleanUpRecords();
   void RemoveRecords(RowTransaction rows);
+  /// @return the time before which ended jobs have expired.
+  WallTime ExpiredBefore() const;
+  std::vector<JobId> ExpiredMarkers() const;
+  void RemoveMarkers(RowTransaction rows);
   void LogDispatchEvents();
   void ReportStatus(Time now);
 
@@ -111,6 +115,8 @@
   Time next_sliced_cleanup_{};
   /// Ended jobs whose records are not emptied yet.
   std::vector<JobId> jobs_to_empty_;
+  /// Jobs that were cancelled before they were accepted, and when.
+  std::map<JobId, WallTime> never_accepted_;
   Time next_cleanup_{};
   std::multimap<JobId, UniqueFunction<Result<bool>>> pending_cancels_;
 
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -40,6 +40,8 @@
     kAnswerLost,
     /// The call is not carried out, and there is no response.
     kCallLost,
+    /// The call is carried out by `ApplyLate`, and there is no response.
+    kLate,
   };
 
   explicit FakeStore(boost::asio::io_context& io) : io_(io) {}
@@ -54,6 +56,12 @@
   /// @return the number of injected faults that have not occurred yet.
   int remaining_faults() const { return remaining_faults_; }
 
+  /// Carries out the calls that were late, if their conditions still hold.
+  void ApplyLate() {
+    for (const RowTransaction& transaction : std::exchange(late_, {}))
+      Apply(transaction);
+  }
+
   /// Called after each transaction that is carried out, before any host can
   /// read its rows.
   std::function<void(const RowTransaction&)> on_applied;
@@ -147,7 +155,9 @@
       fault = fault_;
     }
     if (fault == Fault::kDown) return {StoreOutcome::kNotApplied, {}, {}};
-    if (fault == Fault::kCallLost) return {StoreOutcome::kUnknown, {}, {}};
+    if (fault == Fault::kLate) late_.push_back(transaction);
+    if (fault == Fault::kCallLost || fault == Fault::kLate)
+      return {StoreOutcome::kUnknown, {}, {}};
     TransactionReply reply = Apply(transaction);
     if (fault == Fault::kAnswerLost) return {StoreOutcome::kUnknown, {}, {}};
     return reply;
@@ -232,6 +242,7 @@
   Fault fault_ = Fault::kNone;
   int remaining_faults_ = 0;
   std::string table_with_faults_;
+  std::vector<RowTransaction> late_;
   int remaining_read_failures_ = 0;
   std::string partition_with_failing_reads_;
 };
--- a/gypsumfall/scheduler/internal/stored_jobs.h
+++ b/gypsumfall/scheduler/internal/stored_jobs.h
@@ -63,6 +63,16 @@
 ///   the job is already stored or was cancelled.
 /// @param record the encoded job.
 RowTransaction AcceptSlicedTransaction(const JobId& id, std::string record);
+/// @return the marker of a job that was cancelled before it was accepted, if
+///   the value of the row is one.
+std::optional<JobProgress> DecodeNeverAccepted(const std::string& value);
+/// @return the transaction that stores such a marker in place of the record of
+///   a job, so that a late write does not store the job. It conflicts if there
+///   is a record or a marker.
+RowTransaction RejectLateAcceptance(const ShardScope& scope,
+                                    const JobProgress& marker);
+/// @return the same for a job that may be sliced.
+RowTransaction RejectLateSlicedAcceptance(const JobProgress& marker);
 /// @return the transaction that stores the cancellation of a sliced job. It may
 ///   be repeated.
 RowTransaction CancelSlicedTransaction(const JobProgress& cancelled);
@@ -79,6 +89,8 @@
   std::vector<JobProgress> progress;
   std::vector<ChunkProgress> chunk_progress;
   std::vector<JobProgress> ended;
+  /// Markers of jobs that were cancelled before they were accepted.
+  std::vector<JobProgress> never_accepted;
   std::vector<RosterEntry> roster;
   std::vector<JobRecord> sliced_jobs;
   /// Transfers of tasks of sliced jobs that this shard has stored, and those of
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -301,6 +301,47 @@
   CHECK(d.hosts[0]->SendRequest(HttpMethod::kGet, "/").status == 200);
 }
 
+// Submits a job whose writes are late, cancels it, and lets the late writes be
+// carried out.
+void CancelBeforeLateWrites(FakeStore& store, TestHost& host,
+                            const std::string& table, const std::string& path) {
+  store.InjectFault(Fault::kLate, 1000, table);
+  CHECK(host.SendRequest(HttpMethod::kPost, path).status == 504);
+  store.InjectFault(Fault::kNone, 0);
+  CHECK(host.SendRequest(HttpMethod::kDelete, path).status == 410);
+  store.ApplyLate();
+  // The leader scans the stored jobs every second.
+  const auto end = std::chrono::steady_clock::now() + milliseconds(2500);
+  host.RunUntil([&] { return std::chrono::steady_clock::now() > end; });
+  CHECK(host.SendRequest(HttpMethod::kGet, path).status == 410);
+  // The answer to a repeated cancellation stays the same, and a repeated
+  // submission is not accepted.
+  CHECK(host.SendRequest(HttpMethod::kDelete, path).status == 410);
+  CHECK(host.SendRequest(HttpMethod::kPost, path).status == 410);
+}
+
+// Guards against tasks that start after the cancellation of their job was
+// acknowledged, because a write that was not answered stored the job later.
+TEST_CASE("a late write does not store a job that was cancelled") {
+  Deployment d;
+  CancelBeforeLateWrites(d.store, *d.first, OnlyShard().job_table, "/job1");
+  CHECK(d.workers.starts.empty());
+  // The marker of another cancellation, which is older than the retention.
+  const RowAddress old = JobAddress(OnlyShard(), JobId("old"));
+  d.store.Put(old, Encode(JobProgress{.id = JobId("old"),
+                                      .state = JobState::kCancelled,
+                                      .ended_at = WallTime(1),
+                                      .steps = {},
+                                      .never_accepted = true}));
+  const auto deadline = std::chrono::steady_clock::now() + seconds(10);
+  d.first->RunUntil([&] {
+    return d.store.Find(old) == nullptr ||
+           std::chrono::steady_clock::now() > deadline;
+  });
+  CHECK(d.store.Find(old) == nullptr);
+  CHECK(d.store.Find(JobAddress(OnlyShard(), JobId("job1"))) != nullptr);
+}
+
 RowAddress SlicedRow(const JobId& id) {
   return {kSlicedJobTable, kSlicedJobPartition, id.str()};
 }
@@ -345,6 +386,20 @@
         410);
 }
 
+// Guards against the same in a deployment with several shards, for a sliced and
+// for another job.
+TEST_CASE("a late write does not store a cancelled job in any shard") {
+  ShardedDeployment d;
+  d.AwaitScheduled();
+  SECTION("a sliced job") {
+    CancelBeforeLateWrites(d.store, *d.hosts[0], kSlicedJobTable, "/long-job");
+  }
+  SECTION("another job") {
+    CancelBeforeLateWrites(d.store, *d.hosts[0], "", "/job1");
+  }
+  CHECK(d.workers.starts.empty());
+}
+
 TEST_CASE("a lost response neither loses nor duplicates a sliced job") {
   const Fault fault = GENERATE(Fault::kAnswerLost, Fault::kCallLost);
   ShardedDeployment d;
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -143,6 +143,19 @@
   }
 };
 
+// Decodes the rows of jobs, among which there may be markers of cancellations.
+void DecodeJobs(const LoadedRows& loaded, StateLoad& loading) {
+  LoadedRows records;
+  for (const StoredRow& row : loaded.rows) {
+    if (std::optional<JobProgress> marker = DecodeNeverAccepted(row.value)) {
+      loading.state.never_accepted.push_back(*std::move(marker));
+    } else {
+      records.rows.push_back(row);
+    }
+  }
+  loading.state.jobs = DecodeAll<JobRecord>(records, loading.log);
+}
+
 void DecodeSlicedJobs(const ShardScope& scope, LoadedRows loaded,
                       StateLoad& loading) {
   LoadedRows jobs;
@@ -255,6 +268,29 @@
           .removals = {}};
 }
 
+std::optional<JobProgress> DecodeNeverAccepted(const std::string& value) {
+  // Only such rows have the name of the field in them, but for payloads of
+  // callers.
+  if (value.find("never_accepted") == std::string::npos) return std::nullopt;
+  Result<JobProgress> progress = Decode<JobProgress>(value);
+  if (!progress || !progress->never_accepted) return std::nullopt;
+  return *std::move(progress);
+}
+
+RowTransaction RejectLateAcceptance(const ShardScope& scope,
+                                    const JobProgress& marker) {
+  return {.conditions = {{JobAddress(scope, marker.id), RowVersion(0)}},
+          .writes = {{JobAddress(scope, marker.id), Encode(marker)}},
+          .removals = {}};
+}
+
+RowTransaction RejectLateSlicedAcceptance(const JobProgress& marker) {
+  return {.conditions = {{SlicedJobAddress(marker.id), RowVersion(0)},
+                         {CancelledSlicedJobAddress(marker.id), RowVersion(0)}},
+          .writes = {{CancelledSlicedJobAddress(marker.id), Encode(marker)}},
+          .removals = {}};
+}
+
 RowTransaction CancelSlicedTransaction(const JobProgress& cancelled) {
   return {
       .conditions = {},
@@ -309,12 +345,12 @@
                UniqueFunction<Result<StoredState>> done) {
   auto loading = std::make_shared<StateLoad>();
   loading->done = std::move(done);
-  LoadJobRows(
-      context, scope, kPageTimeout, [loading](const LoadedRows& loaded) {
-        loading->state.jobs = DecodeAll<JobRecord>(loaded, loading->log);
-        loading->state.version = loaded.version;
-        loading->Finish(loaded.outcome);
-      });
+  LoadJobRows(context, scope, kPageTimeout,
+              [loading](const LoadedRows& loaded) {
+                DecodeJobs(loaded, *loading);
+                loading->state.version = loaded.version;
+                loading->Finish(loaded.outcome);
+              });
   LoadRows(context, kProgressTable, scope.partition, kPageTimeout,
            [loading](LoadedRows loaded) {
              const StoreOutcome outcome = loaded.outcome;
@@ -371,7 +407,9 @@
                 done(Fail(ErrorKind::kStoreUnavailable,
                           "the job has ended since its state was read"));
               } else {
-                done(JobStateReply{row != nullptr, JobState::kQueued});
+                const bool known =
+                    row != nullptr && !DecodeNeverAccepted(row->value);
+                done(JobStateReply{known, JobState::kQueued});
               }
             });
       });
@@ -400,8 +438,10 @@
                 done(Fail(ErrorKind::kStoreUnavailable, "cannot read the job"));
                 return;
               }
-              done(JobStateReply{RowOf(cancelled, id) != nullptr,
-                                 JobState::kCancelled});
+              const StoredRow* row = RowOf(cancelled, id);
+              const bool known =
+                  row != nullptr && !DecodeNeverAccepted(row->value);
+              done(JobStateReply{known, JobState::kCancelled});
             });
       });
 }
