Take no worker from an odd entry of the worker list

But entries with long texts, huge numbers or no usable port counted as workers. Sums of capacities and times near the end of the range overflowed.

--- a/gypsumfall/http/endpoint.cc
+++ b/gypsumfall/http/endpoint.cc
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "gypsumfall/http/http.h"
+
 namespace gypsumfall::http_internal {
 
 namespace asio = boost::asio;
@@ -33,3 +35,12 @@
 }
 
 }  // namespace gypsumfall::http_internal
+
+namespace gypsumfall {
+
+bool IsEndpoint(std::string_view text) {
+  const auto endpoint = http_internal::ParseEndpoint(text);
+  return endpoint && endpoint->port() != 0;
+}
+
+}  // namespace gypsumfall
--- a/gypsumfall/http/internal/client.h
+++ b/gypsumfall/http/internal/client.h
@@ -17,6 +17,10 @@
 
 namespace gypsumfall {
 
+/// @param text "ip:port" or "[ip]:port".
+/// @return whether calls can be sent to this address.
+bool IsEndpoint(std::string_view text);
+
 /// Limits of a ClientPool.
 struct ClientOptions {
   std::size_t max_connections_per_endpoint = 64;
--- a/gypsumfall/protocol/json_reader.cc
+++ b/gypsumfall/protocol/json_reader.cc
@@ -44,9 +44,10 @@
 
 void JsonDecoder::Read(const boost::json::value& value, const JsonPath& path,
                        WorkerTime& out) {
-  // Larger values would overflow Duration, which counts microseconds.
+  // The sum of a larger value and a lease would overflow Duration, which counts
+  // microseconds.
   constexpr auto kMaxMilliseconds = static_cast<std::uint64_t>(
-      std::chrono::floor<milliseconds>(Duration::max()).count());
+      std::chrono::floor<milliseconds>(Duration::max() / 2).count());
   out = WorkerTime(milliseconds(Number(value, path, kMaxMilliseconds)));
 }
 
