Continue a read behind the longest key that the store allows

What callers would see: no worker behind the 500th entry of the list is used, and a host that starts uses none.

Keys may have 200 bytes; one of that length at the end of a full page, which any writer can add, made a key of 201 bytes, which a store may refuse. Each attempt to read the list then failed at the same place.

Change: the next page starts with the last key itself, and its first row is left out. A page that says there is more and has nothing new counts as failed, not as the end.

Test: "rows behind the longest key of a full page are read" failed before (no order to the worker behind the key in 10 s) and passes. The fake store refuses longer keys now and returns at most 500 rows, as the pages say. Seen in the fake store only: whether the platform's store refuses such a key is not stated.

--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -214,6 +214,11 @@
       --remaining_read_failures_;
       return {.outcome = StoreOutcome::kNotApplied, .rows = {}};
     }
+    constexpr std::size_t kMaxKeyBytes = 200;
+    constexpr int kMaxPageRows = 500;
+    if (range.from.size() > kMaxKeyBytes)
+      return {.outcome = StoreOutcome::kRejected, .rows = {}};
+    const int limit = range.limit > 0 ? range.limit : kMaxPageRows;
     RowPage page{.outcome = StoreOutcome::kDone,
                  .rows = {},
                  .version = RowVersion(version_)};
@@ -221,8 +226,7 @@
       if (row.address.table == range.table &&
           row.address.partition == range.partition &&
           row.address.key >= range.from) {
-        if (range.limit > 0 &&
-            page.rows.size() >= static_cast<std::size_t>(range.limit)) {
+        if (page.rows.size() >= static_cast<std::size_t>(limit)) {
           page.has_more = true;
           break;
         }
--- a/gypsumfall/scheduler/row_loader.cc
+++ b/gypsumfall/scheduler/row_loader.cc
@@ -37,13 +37,20 @@
       return;
     }
     if (range.from.empty()) loaded.version = page.version;
-    for (StoredRow& row : page.rows) loaded.rows.push_back(std::move(row));
-    if (!page.has_more || loaded.rows.empty()) {
+    const std::size_t rows_before = loaded.rows.size();
+    for (StoredRow& row : page.rows) {
+      // The first row of a later page is the last one of the page before.
+      if (row.address.key != range.from || range.from.empty())
+        loaded.rows.push_back(std::move(row));
+    }
+    const bool progressed = loaded.rows.size() > rows_before;
+    if (!page.has_more || !progressed) {
+      if (page.has_more) loaded.outcome = StoreOutcome::kUnknown;
       done(std::move(loaded));
       return;
     }
-    // The next page starts directly after the last key.
-    range.from = loaded.rows.back().address.key + '\x01';
+    // A key behind the last one would be longer, and possibly too long.
+    range.from = loaded.rows.back().address.key;
     ReadNextPage();
   }
 
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -193,6 +193,27 @@
   for (const auto& [task, count] : d.workers.starts) CHECK(count == 1);
 }
 
+// Guards against a list that is no longer read because the last key of a page
+// is as long as the store allows: the key of the next page was longer.
+TEST_CASE("rows behind the longest key of a full page are read") {
+  boost::asio::io_context io;
+  FakeStore store(io);
+  InstantWorkers workers(io);
+  store.Put(ConfigAddress(), "1");
+  constexpr int kPageRows = 500;
+  for (int i = 1; i < kPageRows; ++i)
+    store.Put({"workers", "", "w" + std::to_string(i)}, "");
+  store.Put({"workers", "", "x" + std::string(199, 'x')}, "");
+  store.Put({"workers", "", "y"}, "");
+  TestHost host(io, store, workers, "a", 1000);
+  const auto deadline = std::chrono::steady_clock::now() + seconds(10);
+  host.RunUntil([&] {
+    return workers.HasReceivedOrders(WorkerId("y")) ||
+           std::chrono::steady_clock::now() > deadline;
+  });
+  CHECK(workers.HasReceivedOrders(WorkerId("y")));
+}
+
 // Guards against reads that also return the rows after the job's row, which
 // took seconds on the network link of a small host.
 TEST_CASE("a query for a job that the leader does not know reads one row") {
