Store the roster in a row for each worker

What callers would see: no job runs in a shard that has grown beyond about 1,100 workers, or beside entries of the worker list with long addresses.

A worker gets no work before its entry is stored, and the row was sent with each batch. The number of shards is fixed at the first start, so the number of workers of a shard has no bound.

Change: a table with a row for each worker. Only changed entries are written and removed, in batches with the other records; an entry is written again if the address of its worker changes. The row of the previous version is read, and removed with the last of the entries that replace it.

Test: "a shard can have any number of workers" (2,000, and a roster of the previous version) failed before (no job ran in 15 s) and passes.

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -107,8 +107,10 @@
 }
 
 void Dispatcher::RestoreRoster(const std::vector<RosterEntry>& roster,
-                               Time now) {
+                               bool old_version, Time now) {
+  old_roster_stored_ = old_roster_stored_ || old_version;
   for (const RosterEntry& entry : roster) {
+    if (old_version) roster_changes_.insert(entry.id);
     Worker& worker = workers_.FindOrAdd(entry.id);
     worker.entry.endpoint = entry.endpoint;
     worker.in_roster = true;
@@ -260,7 +262,8 @@
 bool Dispatcher::HasRecords() const {
   return !rows_to_record_.empty() || !obsolete_rows_.empty() ||
          !expired_jobs_.empty() || !transfers_to_record_.empty() ||
-         !transfers_to_remove_.empty() || roster_changed_;
+         !transfers_to_remove_.empty() || !roster_changes_.empty() ||
+         (old_roster_stored_ && rejected_batches_.empty());
 }
 
 std::vector<JobId> Dispatcher::TakeExpired(std::size_t limit,
@@ -279,14 +282,8 @@
   limit = std::min(limit, max_batch_rows_);
   RecordBatch batch;
   batch.last_record_sequence = stored_record_sequence_;
-  std::size_t rows = 0;
-  if (std::exchange(roster_changed_, false)) {
-    batch.roster_changed = true;
-    for (auto& [id, worker] : workers_) {
-      batch.roster.push_back({id, worker.entry.endpoint});
-    }
-    ++rows;
-  }
+  TakeRosterChanges(limit, batch);
+  std::size_t rows = batch.size();
   rows += MoveUpTo(limit - rows, transfers_to_record_, batch.transfers);
   rows +=
       MoveUpTo(limit - rows, transfers_to_remove_, batch.obsolete_transfers);
@@ -315,6 +312,23 @@
       .chunks[static_cast<std::size_t>(id.chunk)];
 }
 
+void Dispatcher::TakeRosterChanges(std::size_t limit, RecordBatch& batch) {
+  while (!roster_changes_.empty() && batch.size() < limit) {
+    const WorkerId id = *roster_changes_.begin();
+    roster_changes_.erase(roster_changes_.begin());
+    if (const Worker* worker = workers_.Find(id)) {
+      batch.roster_entries.push_back({id, worker->entry.endpoint});
+    } else {
+      batch.removed_from_roster.push_back(id);
+    }
+  }
+  // All entries are stored in this batch or an earlier one.
+  if (roster_changes_.empty() && rejected_batches_.empty() &&
+      batch.size() < limit) {
+    batch.remove_old_roster = std::exchange(old_roster_stored_, false);
+  }
+}
+
 std::size_t Dispatcher::TakeRow(Job& job, const ProgressRowId& id,
                                 RecordBatch& batch) {
   ProgressRow& row = CurrentRow(job, id);
@@ -347,7 +361,7 @@
     --unstored_ended_jobs_;
     newly_visible.push_back(ended.id);
   }
-  for (const RosterEntry& entry : batch.roster) {
+  for (const RosterEntry& entry : batch.roster_entries) {
     Worker* worker = workers_.Find(entry.id);
     if (worker != nullptr) worker->in_roster = true;
   }
@@ -382,7 +396,11 @@
   PutBack(batch.expired, expired_jobs_);
   PutBack(batch.transfers, transfers_to_record_);
   PutBack(batch.obsolete_transfers, transfers_to_remove_);
-  roster_changed_ = roster_changed_ || batch.roster_changed;
+  for (const RosterEntry& entry : batch.roster_entries)
+    roster_changes_.insert(entry.id);
+  roster_changes_.insert(batch.removed_from_roster.begin(),
+                         batch.removed_from_roster.end());
+  old_roster_stored_ = old_roster_stored_ || batch.remove_old_roster;
 }
 
 void Dispatcher::SetAside(RecordBatch batch, Time now) {
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -72,9 +72,10 @@
     worker.may_leave_at = std::min(worker.may_leave_at.value_or(Time::max()),
                                    now + *entry.remaining);
   }
+  const bool moved = entry.endpoint != worker.entry.endpoint;
   worker.entry = std::move(entry);
   worker.listed = true;
-  if (!worker.in_roster) roster_changed_ = true;
+  if (!worker.in_roster || moved) roster_changes_.insert(worker.entry.id);
   if (newly_draining) {
     AddEvent(
         "worker drains", {}, RunNumber(), worker.entry.id,
@@ -400,7 +401,7 @@
     AddEvent("worker removed", {}, RunNumber(), id, "lease expired");
     ReleaseAllReservations(*workers_.Find(id));
     workers_.Remove(id);
-    roster_changed_ = true;
+    roster_changes_.insert(id);
   }
 }
 
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -62,16 +62,18 @@
   /// no longer needed.
   std::vector<TaskTransfer> transfers;
   std::vector<TaskName> obsolete_transfers;
-  /// Whether `roster` has changed; only then is it filled.
-  bool roster_changed = false;
-  /// Workers that may hold leases.
-  std::vector<RosterEntry> roster;
+  /// Workers that may hold leases from now on, and those that no longer do.
+  std::vector<RosterEntry> roster_entries;
+  std::vector<WorkerId> removed_from_roster;
+  /// The row with the roster of an earlier version is to be removed.
+  bool remove_old_roster = false;
 
   /// @return the number of rows that are written or removed.
   std::size_t size() const {
     return progress.size() + chunk_progress.size() + ended.size() +
            obsolete_progress.size() + expired.size() + transfers.size() +
-           obsolete_transfers.size() + (roster_changed ? 1 : 0);
+           obsolete_transfers.size() + roster_entries.size() +
+           removed_from_roster.size() + (remove_old_roster ? 1 : 0);
   }
   bool empty() const { return size() == 0; }
 };
@@ -129,7 +131,9 @@
                   JobSlice slice = {});
   void RestoreProgress(const JobProgress& progress);
   void RestoreProgress(const ChunkProgress& progress);
-  void RestoreRoster(const std::vector<RosterEntry>& roster, Time now);
+  /// @param old_version the roster is in one row, which is to be replaced.
+  void RestoreRoster(const std::vector<RosterEntry>& roster, bool old_version,
+                     Time now);
   /// Restores a transfer that this shard has stored. Must be called after the
   /// jobs are restored; the transfer is removed if its job is not among them.
   void RestoreTransfer(const TaskTransfer& transfer, Time now);
@@ -294,6 +298,8 @@
   static ProgressRow& CurrentRow(Job& job, const ProgressRowId& id);
   /// Puts the rows of a batch back to the front of the queues.
   void Requeue(RecordBatch batch);
+  /// Adds changes of the roster to the batch, at most `limit` rows.
+  void TakeRosterChanges(std::size_t limit, RecordBatch& batch);
   void SetAside(RecordBatch batch, Time now);
   void RetryRejectedBatches(Time now);
 
@@ -500,7 +506,9 @@
   /// Transfers to this shard of tasks that have an unexpected run.
   std::vector<TaskTransfer> deferred_transfers_;
   std::size_t unstored_ended_jobs_ = 0;
-  bool roster_changed_ = false;
+  /// Workers whose entries in the roster have changed.
+  std::set<WorkerId> roster_changes_;
+  bool old_roster_stored_ = false;
   std::vector<DispatchEvent> events_;
 };
 
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -177,7 +177,9 @@
     for (const auto& [id, progress] : stored_chunks) {
       dispatcher_->RestoreProgress(progress);
     }
-    dispatcher_->RestoreRoster(stored_roster_, now_);
+    std::vector<RosterEntry> roster;
+    for (const auto& [id, entry] : stored_roster_) roster.push_back(entry);
+    dispatcher_->RestoreRoster(roster, false, now_);
     for (const auto& [id, worker] : workers_) {
       if (worker.alive && !worker.partitioned) {
         dispatcher_->OnWorkerListed(worker.entry, now_);
@@ -293,7 +295,10 @@
     for (const TaskName& name : batch.obsolete_transfers) {
       stored_transfers.erase(name);
     }
-    if (batch.roster_changed) stored_roster_ = batch.roster;
+    for (const RosterEntry& entry : batch.roster_entries)
+      stored_roster_[entry.id] = entry;
+    for (const WorkerId& id : batch.removed_from_roster)
+      stored_roster_.erase(id);
     dispatcher_->OnRecorded(batch);
   }
 
@@ -495,7 +500,7 @@
   std::map<JobId, JobRecord> stored_jobs_;
   std::map<JobId, JobSlice> slices_;
   std::map<JobId, JobProgress> stored_ended_;
-  std::vector<RosterEntry> stored_roster_;
+  std::map<WorkerId, RosterEntry> stored_roster_;
 };
 
 }  // namespace gypsumfall
--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -127,15 +127,16 @@
   Checkpoint checkpoint;
 };
 
-/// A worker that may hold a lease.
+/// A worker that may hold a lease. Stored in a row of its own, so that a
+/// successor waits until the lease expires.
 struct RosterEntry {
   WorkerId id;
   /// "ip:port".
   std::string endpoint;
 };
 
-/// All workers that may hold a lease; stored so that a successor waits until
-/// these leases expire.
+/// All workers that may hold a lease, in the form of earlier versions, which
+/// stored them in one row.
 struct Roster {
   std::vector<RosterEntry> workers;
 };
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -173,7 +173,9 @@
   for (const JobProgress& marker : loaded->never_accepted) {
     never_accepted_.insert_or_assign(marker.id, marker.ended_at);
   }
-  dispatcher_->RestoreRoster(loaded->roster, now);
+  dispatcher_->RestoreRoster(loaded->roster, false, now);
+  if (loaded->old_roster)
+    dispatcher_->RestoreRoster(*loaded->old_roster, true, now);
   job_scan_version_ = loaded->version;
   sliced_version_ = loaded->sliced_version;
   takeover_time_.Record(now - leader_since_);
--- a/gypsumfall/scheduler/internal/context.h
+++ b/gypsumfall/scheduler/internal/context.h
@@ -28,7 +28,10 @@
 // Tables and row keys of the table service.
 inline constexpr const char* kLeaderTable = "duty";
 inline constexpr const char* kLeaderKey = "scheduler";
+// Row with the roster of an earlier version; now a table with a row for each
+// worker.
 inline constexpr const char* kRosterKey = "roster";
+inline constexpr const char* kRosterTable = "roster";
 inline constexpr const char* kProgressTable = "progress";
 inline constexpr const char* kEndedTable = "ended";
 // Jobs of which each shard runs a slice, and those of them that were cancelled.
--- a/gypsumfall/scheduler/internal/stored_jobs.h
+++ b/gypsumfall/scheduler/internal/stored_jobs.h
@@ -92,6 +92,8 @@
   /// Markers of jobs that were cancelled before they were accepted.
   std::vector<JobProgress> never_accepted;
   std::vector<RosterEntry> roster;
+  /// The roster that an earlier version has stored, if there is one.
+  std::optional<std::vector<RosterEntry>> old_roster;
   std::vector<JobRecord> sliced_jobs;
   /// Transfers of tasks of sliced jobs that this shard has stored, and those of
   /// other shards.
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -193,6 +193,34 @@
   for (const auto& [task, count] : d.workers.starts) CHECK(count == 1);
 }
 
+// Guards against a roster that outgrows a row of the store, so that no worker
+// is used any more.
+TEST_CASE("a shard can have any number of workers") {
+  boost::asio::io_context io;
+  FakeStore store(io);
+  InstantWorkers workers(io);
+  store.Put(ConfigAddress(), "1");
+  for (int i = 0; i < 2000; ++i)
+    store.Put({"workers", "", "rack-worker-of-2000-" + std::to_string(i)}, "");
+  // The roster as an earlier version has stored it.
+  const RowAddress old_roster{kLeaderTable, OnlyShard().partition, kRosterKey};
+  store.Put(old_roster, Encode(Roster{{{WorkerId("left"), "left:1"}}}));
+  TestHost host(io, store, workers, "a", 10'000);
+  host.RunUntil([&] { return host.dispatch().is_scheduling(); });
+  CHECK(host.SendRequest(HttpMethod::kPost, "/job1").status == 200);
+  const auto deadline = std::chrono::steady_clock::now() + seconds(15);
+  const auto is_completed = [&] {
+    return host.SendRequest(HttpMethod::kGet, "/job1").body ==
+           StateText(JobState::kCompleted);
+  };
+  while (!is_completed() && std::chrono::steady_clock::now() < deadline) {
+  }
+  CHECK(is_completed());
+  // The lease of the worker that is no longer listed is respected too.
+  CHECK(workers.HasReceivedOrders(WorkerId("left")));
+  CHECK(store.Find(old_roster) == nullptr);
+}
+
 // Guards against a list that is no longer read because the last key of a page
 // is as long as the store allows: the key of the next page was longer.
 TEST_CASE("rows behind the longest key of a full page are read") {
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -124,11 +124,11 @@
   return transactions;
 }
 
-// Waits for the reads of the five tables and combines their results.
+// Waits for the reads of the six tables and combines their results.
 struct StateLoad {
   Logger log{"stored-jobs"};
   StoredState state;
-  int pending_reads = 5;
+  int pending_reads = 6;
   bool failed = false;
   UniqueFunction<Result<StoredState>> done;
 
@@ -185,12 +185,12 @@
   loading.state.chunk_progress = DecodeAll<ChunkProgress>(chunks, loading.log);
 }
 
-void DecodeRoster(const LoadedRows& loaded, StateLoad& loading) {
+void DecodeOldRoster(const LoadedRows& loaded, StateLoad& loading) {
   for (const StoredRow& row : loaded.rows) {
     if (row.address.key != kRosterKey) continue;
     Result<Roster> roster = Decode<Roster>(row.value);
     if (roster) {
-      loading.state.roster = std::move(roster->workers);
+      loading.state.old_roster = std::move(roster->workers);
     } else {
       loading.log.Error("cannot decode the stored roster",
                         {{"why", roster.error().detail}});
@@ -333,10 +333,15 @@
   for (const TaskName& task : batch.obsolete_transfers) {
     rows.removals.push_back(TransferAddress(scope, task));
   }
-  if (batch.roster_changed) {
-    rows.writes.push_back({{kLeaderTable, scope.partition, kRosterKey},
-                           Encode(Roster{batch.roster})});
+  for (const RosterEntry& entry : batch.roster_entries) {
+    rows.writes.push_back(
+        {{kRosterTable, scope.partition, entry.id.str()}, Encode(entry)});
+  }
+  for (const WorkerId& id : batch.removed_from_roster) {
+    rows.removals.push_back({kRosterTable, scope.partition, id.str()});
   }
+  if (batch.remove_old_roster)
+    rows.removals.push_back({kLeaderTable, scope.partition, kRosterKey});
   return rows;
 }
 
@@ -372,7 +377,13 @@
                     });
   LoadRows(context, kLeaderTable, scope.partition, kPageTimeout,
            [loading](const LoadedRows& loaded) {
-             DecodeRoster(loaded, *loading);
+             DecodeOldRoster(loaded, *loading);
+             loading->Finish(loaded.outcome);
+           });
+  LoadRows(context, kRosterTable, scope.partition, kPageTimeout,
+           [loading](const LoadedRows& loaded) {
+             loading->state.roster =
+                 DecodeAll<RosterEntry>(loaded, loading->log);
              loading->Finish(loaded.outcome);
            });
 }
