Limit the images of the interference model

What callers would see: no job runs any more after some thousands of images have been seen, because each leader exceeds its memory.

Its memory grows with the square of the images of the past.

Change: the model has room for 512 images (2 MB). When it is full, images without a run are forgotten, once a second at most; until then further images share the slopes of one index. Slopes start anew for an image that comes back, as they do after a takeover.

Test: "memory does not grow with the pairs of images" failed before and passes (bound: the 64 MB of control). Ruled out: a table of learned pairs by hash, which is slower where placement looks at all workers.

--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -27,6 +27,8 @@
 // longer intervals.
 constexpr Duration kBestEffortRoundInterval = milliseconds(30);
 constexpr Duration kBestEffortRoundPerWorker = microseconds(200);
+// Interval at which images are removed from a full interference model.
+constexpr Duration kImageCleanupInterval = seconds(1);
 // Interval at which all runs are checked for stops, pauses and lost workers.
 constexpr Duration kSweepInterval = milliseconds(15);
 // Time for which a run is paused before it is moved. Moving costs the restore
@@ -101,6 +103,7 @@
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
     RetryRejectedBatches(now);
+    ForgetUnusedImages(now);
     ExpireLeases(now);
     UpdatePredecessorRunsKnown();
     ApplyDeferredTransfers(now);
@@ -116,6 +119,16 @@
   return orders;
 }
 
+void Dispatcher::ForgetUnusedImages(Time now) {
+  if (now < next_image_cleanup_ || !interference_.IsFull()) return;
+  next_image_cleanup_ = now + kImageCleanupInterval;
+  std::set<std::size_t> used;
+  for (const auto& [id, worker] : workers_) {
+    for (const auto& [name, run] : worker.runs) used.insert(run.image);
+  }
+  interference_.ForgetUnused(used);
+}
+
 void Dispatcher::AddLeaseOrders(Time now, std::vector<Order>& orders) {
   for (auto& [id, worker] : workers_) {
     if (worker.entry.endpoint.empty()) continue;
--- a/gypsumfall/dispatch/interference.cc
+++ b/gypsumfall/dispatch/interference.cc
@@ -8,6 +8,9 @@
 namespace gypsumfall::dispatch_internal {
 namespace {
 
+// Images in the model. Its memory grows with the square of this.
+constexpr std::size_t kMaxImages = 512;
+
 // Workers report a tail latency of at most the target divided by this; such a
 // report only says that the headroom is lower.
 constexpr double kMinReportedHeadroom = 0.15;
@@ -65,12 +68,38 @@
 }
 
 std::size_t InterferenceModel::IndexOf(const ImageId& image) {
-  const auto [found, inserted] = indices_.try_emplace(image, indices_.size());
-  if (inserted) {
-    for (auto& row : slope_) row.push_back(kInitialSlope);
-    slope_.emplace_back(indices_.size(), kInitialSlope);
+  const auto found = indices_.find(image);
+  if (found != indices_.end()) return found->second;
+  if (slope_.empty()) AddIndex();
+  if (IsFull()) return kOtherImages;
+  if (unused_indices_.empty()) {
+    unused_indices_.push_back(slope_.size());
+    AddIndex();
   }
-  return found->second;
+  const std::size_t index = unused_indices_.back();
+  unused_indices_.pop_back();
+  indices_.emplace(image, index);
+  return index;
+}
+
+void InterferenceModel::AddIndex() {
+  for (auto& row : slope_) row.push_back(kInitialSlope);
+  slope_.emplace_back(slope_.size() + 1, kInitialSlope);
+}
+
+bool InterferenceModel::IsFull() const {
+  return unused_indices_.empty() && slope_.size() > kMaxImages;
+}
+
+void InterferenceModel::ForgetUnused(const std::set<std::size_t>& used) {
+  std::erase_if(indices_, [&](const auto& entry) {
+    const std::size_t index = entry.second;
+    if (used.contains(index)) return false;
+    for (auto& row : slope_) row[index] = kInitialSlope;
+    slope_[index].assign(slope_.size(), kInitialSlope);
+    unused_indices_.push_back(index);
+    return true;
+  });
 }
 
 void InterferenceModel::Learn(Worker& worker) {
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -376,6 +376,8 @@
                     Time now) const;
   /// Updates the ratio of actual to declared run times of a queue.
   void LearnRunTime(const Job& job, const Run& run, Time now);
+  /// Makes room for new images in the interference model if it is full.
+  void ForgetUnusedImages(Time now);
   /// Adds a step to those with ready tasks.
   void AddReadyStep(Job& job, const StepRef& ref, Time now);
   /// Removes a step from those with ready tasks.
@@ -468,6 +470,7 @@
   std::set<StepRef> ready_steps_;
   Time next_best_effort_round_{};
   Time next_sweep_{};
+  Time next_image_cleanup_{};
   /// Separate budgets, so that many draining workers do not keep starving tasks
   /// from being searched for.
   SearchBudget starving_task_searches_;
--- a/gypsumfall/dispatch/internal/interference.h
+++ b/gypsumfall/dispatch/internal/interference.h
@@ -2,6 +2,7 @@
 #define GYPSUMFALL_DISPATCH_INTERNAL_INTERFERENCE_H_
 
 #include <cstddef>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -27,9 +28,15 @@
 /// headroom, which follows its own load.
 class InterferenceModel {
  public:
-  /// @return the index of the image, the same for each call; adds the image if
-  ///   it is new.
+  /// @return the index of the image, the same for each call until `Forget`
+  ///   removes the image; adds the image if it is new. While the model is full,
+  ///   all images that are not in it share an index.
   std::size_t IndexOf(const ImageId& image);
+  /// @return whether new images find no place in the model.
+  bool IsFull() const;
+  /// Removes all images except the used ones.
+  /// @param used indices of these.
+  void ForgetUnused(const std::set<std::size_t>& used);
 
   /// Updates the model and the headroom of the serving runs from the latest
   /// reports of a worker.
@@ -49,7 +56,13 @@
                                Time now) const;
 
  private:
+  void AddIndex();
+
+  /// Index of the images that are not in the model.
+  static constexpr std::size_t kOtherImages = 0;
+
   std::unordered_map<ImageId, std::size_t> indices_;
+  std::vector<std::size_t> unused_indices_;
   /// Indexed by the serving image, then by the best-effort image.
   std::vector<std::vector<double>> slope_;
 };
--- a/gypsumfall/dispatch/memory_test.cc
+++ b/gypsumfall/dispatch/memory_test.cc
@@ -108,6 +108,21 @@
   CHECK(dispatcher.StateOf(JobId(JobName(0))).state == JobState::kCancelled);
 }
 
+// Guards against memory for each pair of images that the leader has ever seen.
+TEST_CASE("memory does not grow with the pairs of images") {
+  SimulatedCluster world(4, {MilliCores(10'000'000), MebiBytes(1'000'000), {}});
+  const std::size_t before = allocated_bytes;
+  constexpr int kImages = 6000;
+  for (int i = 0; i < kImages; ++i) {
+    JobSpec spec;
+    spec.steps = {Tasks(1)};
+    spec.steps[0].image = ImageId("image" + std::to_string(i));
+    world.Submit(world.Record(JobName(i), spec));
+  }
+  world.Advance(seconds(2));
+  CHECK(allocated_bytes - before < kMaxBytes);
+}
+
 // Guards against occurrences that are not started although there is capacity,
 // because a limited number of them is open.
 TEST_CASE("occurrences that are due at once all run") {
--- a/gypsumfall/dispatch/step_tasks.cc
+++ b/gypsumfall/dispatch/step_tasks.cc
@@ -21,12 +21,12 @@
 }
 
 const Task& StepTasks::operator[](int index) const {
-  static const Task kDoneTask{.phase = TaskPhase::kDone};
-  static const Task kExcludedTask{.phase = TaskPhase::kExcluded};
-  if (IsDone(index)) return kDoneTask;
+  static const Task done_task{.phase = TaskPhase::kDone};
+  static const Task excluded_task{.phase = TaskPhase::kExcluded};
+  if (IsDone(index)) return done_task;
   const auto found = changed_.find(index);
   if (found != changed_.end()) return found->second;
-  return IsInSlice(index) ? initial_ : kExcludedTask;
+  return IsInSlice(index) ? initial_ : excluded_task;
 }
 
 Task& StepTasks::Edit(int index) {
