Remove a cancelled job from the queue of due times

A caller that keeps submitting and cancelling yearly jobs fills the memory of the leader.

Change: a job knows the time under which it is queued, and its end removes the entry.

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -70,8 +70,7 @@
                             JobSlice slice) {
   Job* job = AddJob(std::move(record), slice, now, wall_now);
   if (job == nullptr) return;
-  job->due_queued = true;
-  due_occurrences_.emplace(now, job->record.id);
+  QueueForDue(*job, now);
 }
 
 void Dispatcher::RestoreProgress(const JobProgress& progress) {
@@ -166,6 +165,8 @@
   job.ended_at = wall_now;
   for (auto& [number, occurrence] : job.occurrences)
     MakeChunksObsolete(job, number, occurrence);
+  if (job.queued_due) due_occurrences_.erase({*job.queued_due, job.record.id});
+  backlogged_jobs_.erase(job.record.id);
   job.RemoveTasks();
   if (job.slice.IsWhole()) {
     ++unstored_ended_jobs_;
@@ -198,17 +199,23 @@
   if (next == count) return;
   if (job.DueOf(next) <= now) {
     backlogged_jobs_.insert(job.record.id);
-  } else if (!std::exchange(job.due_queued, true)) {
-    due_occurrences_.emplace(job.DueOf(next), job.record.id);
+  } else {
+    QueueForDue(job, job.DueOf(next));
   }
 }
 
+void Dispatcher::QueueForDue(Job& job, Time due) {
+  if (job.queued_due) return;
+  job.queued_due = due;
+  due_occurrences_.emplace(due, job.record.id);
+}
+
 void Dispatcher::UnblockDueJobs(Time now) {
   std::set<JobId> due = std::exchange(backlogged_jobs_, {});
   while (!due_occurrences_.empty() && due_occurrences_.begin()->first <= now) {
     const JobId id = due_occurrences_.begin()->second;
     due_occurrences_.erase(due_occurrences_.begin());
-    if (Job* job = jobs_.Find(id)) job->due_queued = false;
+    if (Job* job = jobs_.Find(id)) job->queued_due.reset();
     due.insert(id);
   }
   for (const JobId& id : due) {
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "gypsumfall/base/base.h"
@@ -269,6 +270,7 @@
   /// next one. Only a limited number of steps wait for workers at a time, so
   /// that state follows the runs and not the occurrences that are due.
   void OpenDueOccurrences(Job& job, Time now);
+  void QueueForDue(Job& job, Time due);
   void UnblockDueJobs(Time now);
   /// Makes the tasks ready of those steps of an occurrence whose dependencies
   /// are done.
@@ -476,7 +478,7 @@
   SearchBudget starving_task_searches_;
   SearchBudget move_searches_;
   /// Times at which the next occurrences of jobs are due, one for each job.
-  std::multimap<Time, JobId> due_occurrences_;
+  std::set<std::pair<Time, JobId>> due_occurrences_;
   /// Jobs with due occurrences that are not open, because enough steps wait.
   std::set<JobId> backlogged_jobs_;
 
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -85,8 +85,9 @@
   int next_occurrence = 0;
   /// Steps with ready tasks.
   int waiting_steps = 0;
-  /// The dispatcher opens the next occurrence when it is due.
-  bool due_queued = false;
+  /// Time at which the dispatcher opens the next occurrence, if it is queued
+  /// for that.
+  std::optional<Time> queued_due;
   /// Time at which the job was added, and the time from then until its first
   /// occurrence is due.
   Time added{};
--- a/gypsumfall/dispatch/memory_test.cc
+++ b/gypsumfall/dispatch/memory_test.cc
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <new>
 #include <string>
+#include <vector>
 
 #include "gypsumfall/dispatch/dispatch.h"
 #include "gypsumfall/dispatch/internal/simulated_cluster.h"
@@ -123,6 +124,40 @@
   CHECK(allocated_bytes - before < kMaxBytes);
 }
 
+// Guards against entries for cancelled jobs that stay until the jobs would have
+// been due.
+TEST_CASE("a cancelled job leaves nothing behind after its retention") {
+  SimulatedCluster world(1);
+  const Time now = world.now();
+  const WallTime wall_now = world.WallNow();
+  const WallTime year{std::chrono::hours(24 * 365)};
+  Dispatcher dispatcher({}, Epoch(1), now);
+  constexpr std::size_t kCancelledJobs = 20'000;
+  std::size_t before = 0;
+  for (const bool warm_up : {true, false}) {
+    before = warm_up ? 0 : allocated_bytes;
+    std::vector<JobId> ids;
+    for (std::size_t i = 0; i < kCancelledJobs; ++i) {
+      const JobRecord record =
+          world.Record(JobName(static_cast<int>(i)),
+                       PeriodicJob(1, 1, 10, wall_now + year, year));
+      ids.push_back(record.id);
+      dispatcher.Submit(record, now, wall_now);
+      dispatcher.Cancel(record.id, now, wall_now);
+      dispatcher.TakeEvents();
+    }
+    while (dispatcher.HasRecords())
+      dispatcher.OnRecorded(dispatcher.TakeRecords(90));
+    CHECK(dispatcher.TakeExpired(ids.size(), wall_now + year).size() ==
+          ids.size());
+    dispatcher.OnRecordsRemoved(ids);
+    while (dispatcher.HasRecords())
+      dispatcher.OnRecorded(dispatcher.TakeRecords(90));
+  }
+  constexpr std::size_t kNoise = 16;
+  CHECK(allocated_bytes < before + kCancelledJobs * kNoise);
+}
+
 // Guards against occurrences that are not started although there is capacity,
 // because a limited number of them is open.
 TEST_CASE("occurrences that are due at once all run") {
