Refuse jobs while the accepted ones need all the memory they may

Change: the leader estimates the memory of the jobs that have not ended. At 64 MiB over all shards, the bound for control, its renewals say that it is full; hosts see that within their usual reads of the leader row and refuse further jobs at once with 503 and a time to come back. What has been accepted runs. The bound is a setting, the same on all hosts, because any host may have to load the jobs: [scheduling] max_job_memory. It does not depend on a job's repetitions, steps or tasks beyond the memory that they take.

As with each refusal, 503 speaks of the call that it answers: a host does not know of an earlier attempt whose write may still be under way.

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -167,7 +167,7 @@
     MakeChunksObsolete(job, number, occurrence);
   if (job.queued_due) due_occurrences_.erase({*job.queued_due, job.record.id});
   backlogged_jobs_.erase(job.record.id);
-  job.RemoveTasks();
+  jobs_.RemoveTasksOf(job);
   if (job.slice.IsWhole()) {
     ++unstored_ended_jobs_;
     QueueJobRow(job);
@@ -507,6 +507,7 @@
   }
   status.waiting_steps = ready_steps_.size();
   status.jobs = jobs_.size();
+  status.job_bytes = jobs_.bytes();
   for (const auto& [id, job] : jobs_) {
     status.open_occurrences += job->occurrences.size();
     for (const auto& [number, occurrence] : job->occurrences) {
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -34,6 +34,8 @@
   Duration predecessor_slack{0};
   /// Time for which ended jobs are kept.
   Duration ended_retention = std::chrono::minutes(10);
+  /// Memory that the jobs of the shard may need; see `IsFull`.
+  std::size_t max_job_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// A row with progress that waits to be stored.
@@ -105,6 +107,7 @@
   /// What the memory for jobs depends on: the known jobs, ended ones included,
   /// the occurrences that have begun, and the tasks that have had a run there.
   std::size_t jobs = 0;
+  std::size_t job_bytes = 0;
   std::size_t open_occurrences = 0;
   std::size_t changed_tasks = 0;
   /// Long-running tasks that are ready and have no run.
@@ -194,6 +197,9 @@
 
   /// @return whether there are records to store.
   bool HasRecords() const;
+  /// @return whether the jobs need as much memory as they may, so that no
+  ///   further ones should be accepted. Those that are accepted are run.
+  bool IsFull() const { return jobs_.bytes() >= settings_.max_job_bytes; }
   /// @return whether an ended job is not stored yet, for which a caller may
   ///   wait.
   bool HasEndedJobs() const { return unstored_ended_jobs_ > 0; }
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -106,8 +106,9 @@
   const Step* FindStep(const TaskName& name) const;
   /// @return the state of the occurrence, which is added if it is not open.
   Occurrence& Open(int occurrence);
-  /// Removes all state that an ended job does not need.
-  void RemoveTasks();
+  /// @return about as much memory as the job needs while one occurrence is
+  ///   open.
+  std::size_t EstimateBytes() const;
   /// @return the number of the chunk with the task.
   int ChunkOf(const TaskName& name) const;
   /// @return the row with the progress of the task; its occurrence must be
@@ -131,6 +132,10 @@
   void Restore(const ChunkProgress& progress);
   /// Adds a job that ended in an earlier epoch.
   void AddEnded(const JobProgress& progress);
+  /// Removes all state that a job does not need once it has ended.
+  void RemoveTasksOf(Job& job);
+  /// @return about the memory that all jobs need which have not ended.
+  std::size_t bytes() const { return bytes_; }
 
   Job* Find(const JobId& id);
   const Job* Find(const JobId& id) const;
@@ -165,6 +170,7 @@
 
  private:
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
+  std::size_t bytes_ = 0;
 };
 
 }  // namespace gypsumfall::dispatch_internal
--- a/gypsumfall/dispatch/job_table.cc
+++ b/gypsumfall/dispatch/job_table.cc
@@ -122,12 +122,22 @@
   return found->second;
 }
 
-void Job::RemoveTasks() {
+std::size_t Job::EstimateBytes() const {
+  const JobSpec& spec = record.spec;
+  return sizeof(Job) + spec.payload.size() +
+         spec.steps.size() *
+             (sizeof(StepSpec) + sizeof(Duration) + sizeof(Step)) +
+         static_cast<std::size_t>(ChunkCount(record)) * sizeof(ProgressRow) +
+         completed.num_blocks() * sizeof(BitSet::block_type);
+}
+
+void JobTable::RemoveTasksOf(Job& job) {
+  bytes_ -= job.EstimateBytes();
   // An assignment would keep the memory of the payload.
-  const JobSpec spec = std::exchange(record.spec, {});
-  remaining_critical_paths = {};
-  occurrences.clear();
-  completed = BitSet();
+  const JobSpec spec = std::exchange(job.record.spec, {});
+  job.remaining_critical_paths = {};
+  job.occurrences.clear();
+  job.completed = BitSet();
 }
 
 Job* JobTable::Add(JobRecord record, JobSlice slice, Time now,
@@ -146,6 +156,7 @@
   job.first_due_after = job.record.spec.first_due - wall_now;
   job.completed.resize(
       static_cast<std::size_t>(job.record.spec.occurrence_count()));
+  bytes_ += job.EstimateBytes();
   return &job;
 }
 
--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -155,6 +155,9 @@
   std::uint64_t renewal = 0;
   /// The holder has given up leadership and sends no more orders.
   bool released = false;
+  /// The accepted jobs need all the memory that they may; no further ones are
+  /// accepted.
+  bool full = false;
   /// Host to which the holder has handed leadership over; empty if it released
   /// it to any host.
   EntryHostId successor;
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -176,6 +176,7 @@
   OptionalField(visit, "processors", leader.processors);
   visit("renewal", leader.renewal);
   visit("released", leader.released);
+  OptionalField(visit, "full", leader.full);
   OptionalField(visit, "successor", leader.successor);
 }
 
--- a/gypsumfall/leadership/leadership.cc
+++ b/gypsumfall/leadership/leadership.cc
@@ -208,6 +208,7 @@
 LeaderClaim LeaderLease::Release(EntryHostId successor) const {
   LeaderClaim claim = Renewal();
   claim.record.released = true;
+  claim.record.full = false;
   claim.record.successor = std::move(successor);
   return claim;
 }
--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -143,9 +143,23 @@
                       .spec = std::move(request.spec)};
   exchange->sliced =
       shards_->shards().size() > 1 && IsSliceable(exchange->record.spec);
+  if (IsFull(*exchange)) {
+    RefuseTemporarily(*exchange, "the accepted jobs need all memory");
+    return;
+  }
   StoreJob(exchange);
 }
 
+bool CallerService::IsFull(const Exchange& exchange) const {
+  const auto is_full = [](const Shard& shard) {
+    const std::optional<LeaderRecord>& leader = shard.elector.lease().record();
+    return leader && leader->full;
+  };
+  if (!exchange.sliced) return is_full(*exchange.shard);
+  return std::any_of(shards_->shards().begin(), shards_->shards().end(),
+                     [&](const auto& shard) { return is_full(*shard); });
+}
+
 void CallerService::StoreJob(const std::shared_ptr<Exchange>& exchange) {
   const Duration time_left = exchange->answer_by - context_.Now();
   if (!exchange->maybe_stored) {
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -63,6 +63,8 @@
       draining_workers_(context.metrics.AddGauge("shard_draining_workers",
                                                  ShardLabels(scope))),
       jobs_(context.metrics.AddGauge("shard_jobs", ShardLabels(scope))),
+      job_bytes_(
+          context.metrics.AddGauge("shard_job_bytes", ShardLabels(scope))),
       open_occurrences_(context.metrics.AddGauge("shard_open_occurrences",
                                                  ShardLabels(scope))),
       changed_tasks_(
@@ -138,7 +140,12 @@
       .shard = scope_.id,
       .max_lease = timings.max_worker_lease,
       .predecessor_slack = elector_.lease().predecessor_slack(),
-      .ended_retention = timings.ended_retention};
+      .ended_retention = timings.ended_retention,
+      // All shards may come to be led by one host.
+      .max_job_bytes =
+          static_cast<std::size_t>(
+              context_.settings.scheduling.max_job_memory.value()) /
+          std::max<std::size_t>(1, layout_.layout()->shard_count)};
   dispatcher_ = std::make_unique<Dispatcher>(
       settings, elector_.lease().record()->epoch, leader_since_);
   const WallTime wall_now = context_.WallNow();
@@ -240,7 +247,7 @@
   RowTransaction rows = BatchTransaction(scope_, batch);
   auto shared_batch = std::make_shared<RecordBatch>(std::move(batch));
   elector_.Store(
-      std::move(rows),
+      std::move(rows), dispatcher_->IsFull(),
       [this, generation = generation_, now, shared_batch] {
         if (generation != generation_) return;
         store_latency_.Record(context_.Now() - now);
@@ -397,6 +404,7 @@
   largest_free_cpu_.Set(static_cast<double>(status.largest_free.value()));
   draining_workers_.Set(status.draining_workers);
   jobs_.Set(static_cast<double>(status.jobs));
+  job_bytes_.Set(static_cast<double>(status.job_bytes));
   open_occurrences_.Set(static_cast<double>(status.open_occurrences));
   changed_tasks_.Set(static_cast<double>(status.changed_tasks));
   waiting_long_running_.Set(status.waiting_long_running);
@@ -414,6 +422,7 @@
              {"long_running_on_draining", status.long_running_on_draining},
              {"waiting_steps", status.waiting_steps},
              {"jobs", status.jobs},
+             {"job_bytes", status.job_bytes},
              {"open_occurrences", status.open_occurrences},
              {"changed_tasks", status.changed_tasks},
              {"waiting_long_running", status.waiting_long_running},
--- a/gypsumfall/scheduler/internal/caller_service.h
+++ b/gypsumfall/scheduler/internal/caller_service.h
@@ -32,6 +32,8 @@
 
   void Handle(const HttpRequest& request, Responder respond);
   void Submit(const std::shared_ptr<Exchange>& exchange);
+  /// @return whether a shard that would run the job accepts no further ones.
+  bool IsFull(const Exchange& exchange) const;
   void StoreJob(const std::shared_ptr<Exchange>& exchange);
   /// Answers a request whose job is stored, and reports the job.
   void OnAccepted(Exchange& exchange);
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -133,6 +133,7 @@
   Gauge& largest_free_cpu_;
   Gauge& draining_workers_;
   Gauge& jobs_;
+  Gauge& job_bytes_;
   Gauge& open_occurrences_;
   Gauge& changed_tasks_;
   Gauge& waiting_long_running_;
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -432,7 +432,8 @@
   TestHost(boost::asio::io_context& io, FakeStore& store,
            InstantWorkers& workers, const std::string& name,
            std::int64_t workers_per_processor = 500,
-           double processor_share = 1.0)
+           double processor_share = 1.0,
+           ByteCount max_job_memory = ByteCount(64 << 20))
       : io_(io),
         caller_port_(io),
         peer_port_(io),
@@ -440,6 +441,7 @@
         peers_(io, {}),
         ports_{store.Port(), workers.Port(), FakeCallers(), FakeDirectory()} {
     settings_.scheduling.workers_per_processor = workers_per_processor;
+    settings_.scheduling.max_job_memory = max_job_memory;
     settings_.timings.worker_heartbeat = milliseconds(100);
     settings_.host.id = EntryHostId(name);
     settings_.host.processor_share = processor_share;
--- a/gypsumfall/scheduler/leader_elector.cc
+++ b/gypsumfall/scheduler/leader_elector.cc
@@ -203,9 +203,11 @@
       });
 }
 
-void LeaderElector::Store(RowTransaction rows, std::function<void()> stored,
+void LeaderElector::Store(RowTransaction rows, bool full,
+                          std::function<void()> stored,
                           std::function<void()> rejected) {
   LeaderClaim renewal = lease_.Renewal();
+  renewal.record.full = full;
   rows.conditions.push_back({LeaderRowAddress(), renewal.expected});
   rows.writes.push_back({LeaderRowAddress(), Encode(renewal.record)});
   pending_store_ = PendingStore{.transaction = std::move(rows),
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -193,6 +193,42 @@
   for (const auto& [task, count] : d.workers.starts) CHECK(count == 1);
 }
 
+// Guards against accepted jobs that no host has the memory to load.
+TEST_CASE("jobs are refused while the accepted ones need all memory") {
+  boost::asio::io_context io;
+  FakeStore store(io);
+  InstantWorkers workers(io);
+  store.Put(ConfigAddress(), "1");
+  store.Put({"workers", "", "w1"}, "");
+  const ByteCount max_job_memory(64 << 10);
+  TestHost leader(io, store, workers, "a", 500, 1.0, max_job_memory);
+  leader.RunUntil([&] { return leader.dispatch().is_scheduling(); });
+  TestHost other(io, store, workers, "b", 500, 1.0, max_job_memory);
+  const auto deadline = std::chrono::steady_clock::now() + seconds(20);
+  const auto submit_until = [&](TestHost& host, int status, int first) {
+    int i = first;
+    while (host.SendRequest(HttpMethod::kPost, "/long-" + std::to_string(i))
+                   .status != status &&
+           std::chrono::steady_clock::now() < deadline) {
+      ++i;
+    }
+    return i;
+  };
+  const int refused = submit_until(leader, 503, 0);
+  CHECK(submit_until(other, 503, refused) < 1000);
+  CHECK(refused > 10);
+  const CallOutcome answer =
+      other.SendRequest(HttpMethod::kPost, "/long-refused");
+  CHECK(answer.status == 503);
+  CHECK(other.SendRequest(HttpMethod::kGet, "/long-refused").status == 410);
+  for (int i = 0; i < refused; ++i) {
+    CHECK(leader.SendRequest(HttpMethod::kDelete, "/long-" + std::to_string(i))
+              .status == 200);
+  }
+  submit_until(other, 200, 2000);
+  CHECK(std::chrono::steady_clock::now() < deadline);
+}
+
 // Guards against a roster that outgrows a row of the store, so that no worker
 // is used any more.
 TEST_CASE("a shard can have any number of workers") {
--- a/gypsumfall/settings/internal/scheduler_settings.h
+++ b/gypsumfall/settings/internal/scheduler_settings.h
@@ -47,6 +47,9 @@
   /// largest host, it determines the number of shards. A busy worker costs 0.6
   /// millicores, so 900 workers use a little over half of a core.
   std::int64_t workers_per_processor = 900;
+  /// Memory that the accepted jobs of all shards may need on one host. Further
+  /// jobs are refused, so that any host can load what has been accepted.
+  ByteCount max_job_memory{64 << 20};
 };
 
 /// All settings of one scheduling host process.
--- a/gypsumfall/settings/scheduler_settings.cc
+++ b/gypsumfall/settings/scheduler_settings.cc
@@ -23,6 +23,8 @@
 constexpr Range<Duration> kEndedRetentionRange{minutes(1), hours(24)};
 constexpr Range<Duration> kHeartbeatRange{milliseconds(100), minutes(1)};
 constexpr Range<std::int64_t> kWorkersPerProcessorRange{1, 100'000};
+constexpr Range<ByteCount> kJobMemoryRange{ByteCount(64 << 10),
+                                           ByteCount(std::int64_t{1} << 40)};
 
 std::vector<Field> Fields(SchedulerHostSettings& host) {
   return {
@@ -57,7 +59,9 @@
 std::vector<Field> Fields(SchedulingSettings& scheduling) {
   return {MakeField("workers_per_processor", kOptional,
                     scheduling.workers_per_processor,
-                    Within(ParseInteger, kWorkersPerProcessorRange))};
+                    Within(ParseInteger, kWorkersPerProcessorRange)),
+          MakeField("max_job_memory", kOptional, scheduling.max_job_memory,
+                    Within(ParseByteCount, kJobMemoryRange))};
 }
 
 }  // namespace
