Count a job as waiting until a worker has started one of its tasks

Cause: a job counted as begun when a run was bound to a worker. The members of a gang that find room are bound before the last one finds none, and are unbound then; a start that a worker refuses is unbound too.

Evidence: the test with one worker and no store shows it for both; the other guesses, a job counted in another shard and an old count, need hosts.

Change: a job has started when a worker accepts a start of one of its tasks, lists a run of one, or an end of one.

--- a/gypsumfall/dispatch/dispatcher_completions.cc
+++ b/gypsumfall/dispatch/dispatcher_completions.cc
@@ -53,7 +53,6 @@
   task.phase = TaskPhase::kBound;
   task.bound_in_epoch = true;
   task.last_run = std::max(task.last_run, run.number.value());
-  job.started = true;
   if (spec.max_per_worker > 0)
     ++StepOf(job, name).runs_per_worker[worker.entry.id];
   Bind(worker, name, run);
@@ -173,6 +172,7 @@
     UnbindRun(worker, end.task);
   }
   if (job == nullptr) return 0;
+  job->started = true;
   // The final state may not be stored yet. A successor that knows neither it
   // nor this end would start the task again.
   if (IsFinal(job->state)) return job->row.sequence;
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -123,6 +123,7 @@
   }
   switch (reply.verdict) {
     case OrderVerdict::kAccepted:
+      if (Job* job = jobs_.Find(order.task.job)) job->started = true;
       if (run.phase == RunPhase::kStartSent) run.phase = RunPhase::kRunning;
       run.confirmed_at = now;
       run.phase_changed_at = now;
@@ -308,6 +309,7 @@
       unexpected_runs.emplace(report.task, unexpected_run);
       continue;
     }
+    if (Job* job = jobs_.Find(report.task.job)) job->started = true;
     Run& run = adopted->second;
     if (run.phase == RunPhase::kStartSent ||
         run.phase == RunPhase::kStartUnconfirmed) {
--- a/gypsumfall/dispatch/dispatcher_test.cc
+++ b/gypsumfall/dispatch/dispatcher_test.cc
@@ -630,6 +630,35 @@
   }
 }
 
+// Guards against jobs that are not counted as waiting although none of their
+// tasks has started.
+TEST_CASE("a job waits until a worker has started one of its tasks") {
+  SimulatedCluster world(1);
+  const auto waiting = [&] {
+    return world.dispatcher().CountWaiting(QueueId("q"));
+  };
+  StepSpec step = Tasks(1);
+  SECTION("a gang of which some members find room") {
+    step = Tasks(12);
+    step.gang = true;
+  }
+  SECTION("a start that is refused") {
+    world.worker(0).starts_to_refuse = 1'000'000;
+  }
+  world.Submit(world.Record("a", OneStep(step)));
+  world.Advance(seconds(3));
+  CHECK(world.starts.empty());
+  CHECK(waiting() == 1);
+  CHECK(world.StateOf("a") == JobState::kQueued);
+  world.worker(0).starts_to_refuse = 0;
+  world.AddWorker(1, {MilliCores(32'000), MebiBytes(32'000), {}});
+  // A gang runs for 0.3 s.
+  while (world.starts.empty()) world.Advance(milliseconds(10));
+  world.Advance(milliseconds(50));
+  CHECK(waiting() == 0);
+  CHECK(world.StateOf("a") == JobState::kRunning);
+}
+
 TEST_CASE("occurrences of a job start when they are due") {
   SimulatedCluster world(1);
   JobSpec spec = OneStep(Tasks(1));
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -63,7 +63,7 @@
   /// the job.
   std::vector<Duration> remaining_critical_paths;
   Time submitted{};
-  /// A run of the job has been bound to a worker.
+  /// A worker has started a task of the job.
   bool started = false;
   /// Decided state; becomes visible to callers once it is stored.
   JobState state = JobState::kQueued;
