--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -42,6 +42,9 @@
 struct QueuedRow {
   ProgressRowId id;
   std::uint64_t sequence = 0;
+  /// In a batch: whether the batch holds the row. An earlier record may cover
+  /// it, or another row may have replaced it.
+  bool recorded = false;
 };
 
 /// Rows to store before the changes they hold are acknowledged to workers or
@@ -49,8 +52,7 @@
 struct RecordBatch {
   /// Sequence number of the last record in the batch.
   std::uint64_t last_record_sequence = 0;
-  /// The rows with progress that the batch covers. Some of them need no record,
-  /// because another row has replaced them.
+  /// The rows with progress that the batch covers.
   std::vector<QueuedRow> queued_rows;
   /// Progress of jobs that have not ended, and of their tasks.
   std::vector<JobProgress> progress;
@@ -290,7 +292,7 @@
   static void MakeChunksObsolete(Job& job, int number, Occurrence& occurrence);
   void AdvanceJob(Job& job, const TaskName& name, Time now, WallTime wall_now);
   void EndJob(Job& job, JobState state, Time now, WallTime wall_now);
-  /// Queue a row for the next batch of records, unless it is queued.
+  /// Queues a row for the next batch of records, unless it is queued.
   /// @return the sequence number of its record.
   std::uint64_t QueueRow(ProgressRow& row, const ProgressRowId& id);
   std::uint64_t QueueJobRow(Job& job);
@@ -299,8 +301,8 @@
   ///   of the task is acknowledged.
   static std::uint64_t SequenceOf(Job& job, const TaskName& name);
   /// Adds the row to the batch if it has changed since it was taken last.
-  /// @return the number of rows added.
-  std::size_t TakeRow(Job& job, const ProgressRowId& id, RecordBatch& batch);
+  /// @return whether it was added.
+  bool TakeRow(Job& job, const ProgressRowId& id, RecordBatch& batch);
   /// @return the row that holds the progress: that of the job if it has
   ///   replaced the one with the id.
   static ProgressRow& CurrentRow(Job& job, const ProgressRowId& id);
@@ -308,6 +310,8 @@
   void Requeue(RecordBatch batch);
   /// Adds changes of the roster to the batch, at most `limit` rows.
   void TakeRosterChanges(std::size_t limit, RecordBatch& batch);
+  void TakeProgress(std::size_t limit, RecordBatch& batch);
+  /// Keeps a batch of one row for another attempt.
   void SetAside(RecordBatch batch, Time now);
   void RetryRejectedBatches(Time now);
 
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -256,6 +256,8 @@
   /// Returns the usage that a worker reports for a run.
   std::function<double(const SimulatedWorker&, const TaskName&)> usage_of;
   bool store_available = true;
+  /// Returns whether the store rejects the batch, if set.
+  std::function<bool(const RecordBatch&)> rejects;
   /// Jobs that are stored after a successor has read the job table.
   std::set<JobId> unread_jobs;
   /// Sliced jobs whose cancellation is stored.
@@ -273,6 +275,10 @@
   void StoreRecords() {
     if (!dispatcher_->HasRecords()) return;
     const RecordBatch batch = dispatcher_->TakeRecords(90);
+    if (rejects && rejects(batch)) {
+      dispatcher_->OnRejected(batch, now_);
+      return;
+    }
     for (const JobProgress& job_progress : batch.progress) {
       stored_progress[job_progress.id] = job_progress;
     }
--- a/gypsumfall/dispatch/progress_test.cc
+++ b/gypsumfall/dispatch/progress_test.cc
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
 #include <string>
+#include <vector>
 
 #include "gypsumfall/dispatch/dispatch.h"
 #include "gypsumfall/dispatch/internal/simulated_cluster.h"
@@ -150,6 +152,54 @@
   CHECK(world.starts[TaskName{JobId("a"), 0, 0, kMembers - 1}] == 1);
 }
 
+// Guards against an end that is acknowledged although its row was rejected, and
+// against rows that are lost when a batch is taken back.
+TEST_CASE("rejected rows neither lose work nor let it run again") {
+  const int seed = GENERATE(range(0, 50));
+  std::mt19937 random(static_cast<unsigned>(seed));
+  SimulatedCluster world(3);
+  world.run_of = [&](const TaskName&, int) {
+    return std::pair{Duration(milliseconds(50 + random() % 400)),
+                     RunOutcome::kDone};
+  };
+  const std::vector<JobId> jobs{JobId("a"), JobId("b"), JobId("c")};
+  for (const JobId& id : jobs) {
+    JobSpec spec;
+    spec.steps = {Tasks(3), Tasks(2)};
+    spec.steps[1].after = {0};
+    spec.repetitions = 30;
+    spec.first_due = world.WallNow();
+    spec.interval = WallTime(100);
+    world.Submit(world.Record(id.str(), spec));
+  }
+  const auto rejects_job = [](const RecordBatch& batch, const JobId& job) {
+    const auto is_of = [&](const auto& progress) { return progress.id == job; };
+    return std::any_of(batch.progress.begin(), batch.progress.end(), is_of) ||
+           std::any_of(batch.ended.begin(), batch.ended.end(), is_of) ||
+           std::any_of(batch.chunk_progress.begin(), batch.chunk_progress.end(),
+                       [&](const ChunkProgress& progress) {
+                         return progress.row.job == job;
+                       });
+  };
+  for (int round = 0; round < 6; ++round) {
+    const JobId rejected = jobs[random() % jobs.size()];
+    world.rejects = [&, rejected](const RecordBatch& batch) {
+      return rejects_job(batch, rejected);
+    };
+    world.Advance(milliseconds(300 + random() % 1500));
+    world.rejects = nullptr;
+    if (random() % 2 == 0) world.TakeOver();
+    world.Advance(milliseconds(random() % 1000));
+  }
+  world.Advance(seconds(40));
+  for (const JobId& id : jobs)
+    CHECK(world.StateOf(id.str()) == JobState::kCompleted);
+  for (const auto& [task, starts] : world.starts) CHECK(starts == 1);
+  CHECK(world.stored_chunks.empty());
+  CHECK(world.stored_progress.empty());
+  for (int i = 0; i < 3; ++i) CHECK(world.worker(i).ended.empty());
+}
+
 // Guards against work that runs again after an update of the scheduler.
 TEST_CASE("progress that an earlier version has stored is read and replaced") {
   SimulatedCluster world(1);
--- a/gypsumfall/scheduler/dispatch_service_jobs.cc
+++ b/gypsumfall/scheduler/dispatch_service_jobs.cc
@@ -259,11 +259,16 @@
   for (RowTransaction& rows : RemoveJobsTransactions(
            scope_,
            dispatcher_->TakeExpired(kMaxRemovedRows, context_.WallNow()))) {
-    RemoveRecords(std::move(rows));
+    // Those that are not removed are left to the next leader.
+    RemoveRecords(std::move(rows), [this](const std::vector<JobId>& ids) {
+      dispatcher_->OnRecordsRemoved(ids);
+    });
   }
   for (RowTransaction& rows :
        RemoveJobsTransactions(scope_, ExpiredMarkers())) {
-    RemoveMarkers(std::move(rows));
+    RemoveRecords(std::move(rows), [this](const std::vector<JobId>& ids) {
+      for (const JobId& id : ids) never_accepted_.erase(id);
+    });
   }
 }
 
@@ -282,40 +287,21 @@
   return expired;
 }
 
-void DispatchService::RemoveMarkers(RowTransaction rows) {
+void DispatchService::RemoveRecords(
+    RowTransaction rows, UniqueFunction<const std::vector<JobId>&> removed) {
   std::vector<JobId> ids;
   for (const RowAddress& address : rows.removals) ids.emplace_back(address.key);
   context_.ports.store.transact(
       std::move(rows), kJobScanTimeout,
-      [this, ids = std::move(ids),
-       generation = generation_](const TransactionReply& reply) {
-        if (generation != generation_) return;
+      [this, ids = std::move(ids), generation = generation_,
+       removed = std::move(removed)](const TransactionReply& reply) mutable {
         if (reply.outcome != StoreOutcome::kDone) {
-          log_.Info("markers of cancelled jobs are not removed; trying again",
+          log_.Info("records of expired jobs are not removed",
                     {{"shard", scope_.id},
                      {"outcome", StoreOutcomeName(reply.outcome)}});
           return;
         }
-        for (const JobId& id : ids) never_accepted_.erase(id);
-      });
-}
-
-void DispatchService::RemoveRecords(RowTransaction rows) {
-  std::vector<JobId> ids;
-  for (const RowAddress& address : rows.removals) ids.emplace_back(address.key);
-  context_.ports.store.transact(
-      std::move(rows), kJobScanTimeout,
-      [this, ids = std::move(ids),
-       generation = generation_](const TransactionReply& reply) {
-        if (reply.outcome != StoreOutcome::kDone) {
-          log_.Info(
-              "records of expired jobs are not removed; the next leader "
-              "removes them",
-              {{"shard", scope_.id},
-               {"outcome", StoreOutcomeName(reply.outcome)}});
-          return;
-        }
-        if (generation == generation_) dispatcher_->OnRecordsRemoved(ids);
+        if (generation == generation_) removed(ids);
       });
 }
 
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -84,11 +84,13 @@
   void ApplyTransfer(const StoredRow& row);
   void RemoveExpiredSlicedJobs();
   void CleanUpRecords();
-  void RemoveRecords(RowTransaction rows);
+  /// @param removed called with the jobs whose rows are removed, if this host
+  ///   is still the leader.
+  void RemoveRecords(RowTransaction rows,
+                     UniqueFunction<const std::vector<JobId>&> removed);
   /// @return the time before which ended jobs have expired.
   WallTime ExpiredBefore() const;
   std::vector<JobId> ExpiredMarkers() const;
-  void RemoveMarkers(RowTransaction rows);
   void LogDispatchEvents();
   void ReportStatus(Time now);
 
