Follow the linter in two places

A using declaration that the split of the records left unused, and a copy in a test. scripts/lint reported these two in the whole tree; both files are clean now.

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -17,7 +17,6 @@
 }  // namespace
 
 using dispatch_internal::ChooseWorkerToReserve;
-using dispatch_internal::JobTable;
 using dispatch_internal::kLeaseSlack;
 using dispatch_internal::kMinWorkerClockRate;
 using dispatch_internal::kRunsPerEpoch;
--- a/gypsumfall/dispatch/progress_test.cc
+++ b/gypsumfall/dispatch/progress_test.cc
@@ -182,7 +182,7 @@
                        });
   };
   for (int round = 0; round < 6; ++round) {
-    const JobId rejected = jobs[random() % jobs.size()];
+    const JobId& rejected = jobs[random() % jobs.size()];
     world.rejects = [&, rejected](const RecordBatch& batch) {
       return rejects_job(batch, rejected);
     };
