Report for which workers of earlier epochs a leader waits

'shard status' and two gauges now tell how many workers it waits for, and for how long at most. No decision changes; the time is computed by the function that also expires leases.

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -20,6 +20,7 @@
 using dispatch_internal::kLeaseSlack;
 using dispatch_internal::kMinWorkerClockRate;
 using dispatch_internal::kRunsPerEpoch;
+using dispatch_internal::LeaseEnd;
 using dispatch_internal::TaskPhase;
 
 Dispatcher::Dispatcher(const DispatchSettings& settings, Epoch epoch, Time now)
@@ -296,9 +297,19 @@
     }
   }
   for (const StepRef& ref : ready_steps_) AddWaitsTo(status, ref, now);
+  AddAwaitedWorkersTo(status, now);
   return status;
 }
 
+void Dispatcher::AddAwaitedWorkersTo(ShardStatus& status, Time now) const {
+  for (const auto& [id, worker] : workers_) {
+    if (!worker.predecessor_lease) continue;
+    ++status.awaited_workers;
+    status.awaited_for = std::max(
+        status.awaited_for, LeaseEnd(worker, predecessor_leases_end_) - now);
+  }
+}
+
 // Adds the waiting tasks of a long-running step to the status of the shard.
 void Dispatcher::AddWaitsTo(ShardStatus& status, const StepRef& ref, Time now) {
   Job* job = FindJobOf(ref);
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -55,8 +55,8 @@
 }  // namespace
 
 using dispatch_internal::ClockNow;
-using dispatch_internal::IsLeaseExpired;
 using dispatch_internal::IsUnresponsive;
+using dispatch_internal::LeaseEnd;
 using dispatch_internal::TaskPhase;
 using dispatch_internal::UnexpectedRun;
 using dispatch_internal::UpdateProgress;
@@ -392,8 +392,7 @@
   std::vector<WorkerId> expired_workers;
   for (auto& [id, worker] : workers_) {
     const bool responsive = worker.fenced && !IsUnresponsive(worker, now);
-    if (responsive || !IsLeaseExpired(worker, now, predecessor_leases_end_))
-      continue;
+    if (responsive || now < LeaseEnd(worker, predecessor_leases_end_)) continue;
     if (!worker.runs.empty()) RequeueAllRuns(worker, now, "lease expired");
     worker.fenced = false;
     worker.predecessor_lease = false;
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -121,6 +121,11 @@
   /// Those of these tasks for which no worker has enough resources beside its
   /// long-running runs, so that the end of other work does not help them.
   int unplaceable_long_running = 0;
+  /// Workers that may hold runs of earlier epochs and have not reported, and
+  /// the time until the last of their leases has certainly expired. Tasks of
+  /// earlier epochs wait until then.
+  int awaited_workers = 0;
+  Duration awaited_for{0};
 };
 
 /// Schedules all jobs of one service group on all its workers.
@@ -446,6 +451,7 @@
   bool HoldsWorkerFor(const TaskName& name, Time now);
   bool HoldsWorkerForAny(const StepRef& ref, Time now);
   void AddWaitsTo(ShardStatus& status, const StepRef& ref, Time now);
+  void AddAwaitedWorkersTo(ShardStatus& status, Time now) const;
   /// @return what the task requires of its worker.
   PlacementRequest RequestFor(const Job& job, const TaskName& name,
                               const Step& step);
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -198,11 +198,10 @@
 
 /// @return the estimated current reading of the worker's clock.
 WorkerTime ClockNow(const Worker& worker, Time now);
-/// @return whether the latest lease has certainly expired.
+/// @return the time by which the latest lease has certainly expired.
 /// @param predecessor_leases_end time by which all leases of earlier epochs
 ///   have expired; used if the clock of the worker is unknown.
-bool IsLeaseExpired(const Worker& worker, Time now,
-                    Time predecessor_leases_end);
+Time LeaseEnd(const Worker& worker, Time predecessor_leases_end);
 /// @return whether the worker has not answered in time.
 bool IsUnresponsive(const Worker& worker, Time now);
 /// @return the resources that are neither held by a run nor reserved; may be
--- a/gypsumfall/dispatch/worker_table.cc
+++ b/gypsumfall/dispatch/worker_table.cc
@@ -28,14 +28,13 @@
   return *worker.clock + (now - worker.clock_read_at);
 }
 
-bool IsLeaseExpired(const Worker& worker, Time now,
-                    Time predecessor_leases_end) {
-  if (!worker.clock) return now >= predecessor_leases_end;
-  const Duration remaining = worker.lease_until - *worker.clock;
-  if (remaining.count() <= 0) return now >= worker.clock_read_at + kLeaseSlack;
+Time LeaseEnd(const Worker& worker, Time predecessor_leases_end) {
+  if (!worker.clock) return predecessor_leases_end;
+  const Duration remaining =
+      std::max(Duration{0}, worker.lease_until - *worker.clock);
   const Duration longest(static_cast<std::int64_t>(
       static_cast<double>(remaining.count()) / kMinWorkerClockRate));
-  return now >= worker.clock_read_at + longest + kLeaseSlack;
+  return worker.clock_read_at + longest + kLeaseSlack;
 }
 
 bool IsUnresponsive(const Worker& worker, Time now) {
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -76,7 +76,11 @@
       unplaceable_long_running_(context.metrics.AddGauge(
           "shard_unplaceable_long_running_tasks", ShardLabels(scope))),
       largest_waiting_need_(context.metrics.AddGauge(
-          "shard_largest_waiting_need_millicores", ShardLabels(scope))) {
+          "shard_largest_waiting_need_millicores", ShardLabels(scope))),
+      awaited_workers_(context.metrics.AddGauge("shard_awaited_workers",
+                                                ShardLabels(scope))),
+      awaited_for_(context.metrics.AddGauge("shard_awaited_workers_seconds",
+                                            ShardLabels(scope))) {
   elector_.on_elected = [this] { StartScheduling(); };
   elector_.on_lost = [this] { StopScheduling(); };
 }
@@ -412,6 +416,8 @@
   unplaceable_long_running_.Set(status.unplaceable_long_running);
   largest_waiting_need_.Set(
       static_cast<double>(status.largest_waiting_need.value()));
+  awaited_workers_.Set(status.awaited_workers);
+  awaited_for_.Set(std::chrono::duration<double>(status.awaited_for).count());
   log_.Info("shard status",
             {{"shard", scope_.id},
              {"epoch", dispatcher_->epoch()},
@@ -429,7 +435,9 @@
              {"unplaceable_long_running", status.unplaceable_long_running},
              {"largest_waiting_need", status.largest_waiting_need},
              {"longest_long_running_wait_ms",
-              status.longest_long_running_wait / milliseconds(1)}});
+              status.longest_long_running_wait / milliseconds(1)},
+             {"awaited_workers", status.awaited_workers},
+             {"awaited_for_ms", status.awaited_for / milliseconds(1)}});
 }
 
 std::string DispatchService::Dump() const {
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -142,6 +142,8 @@
   Gauge& longest_long_running_wait_;
   Gauge& unplaceable_long_running_;
   Gauge& largest_waiting_need_;
+  Gauge& awaited_workers_;
+  Gauge& awaited_for_;
 };
 
 }  // namespace gypsumfall::scheduler_internal
