--- a/gypsumfall/dispatch/takeovers_test.cc
+++ b/gypsumfall/dispatch/takeovers_test.cc
@@ -143,8 +143,9 @@
   cluster.Submit(cluster.Record("short-a", Tasks(20, 2000, false), 10));
   for (int event = 0; event < 30; ++event) {
     cluster.Advance(milliseconds(100 * (1 + draw(20))));
+    cluster.store_available = true;
     SimulatedWorker& worker = cluster.worker(draw(kWorkers));
-    switch (draw(6)) {
+    switch (draw(8)) {
       case 0:
       case 1:
         cluster.TakeOver(draw(2) == 0 ? Duration{0} : seconds(3));
@@ -159,6 +160,18 @@
       case 4:
         cluster.dispatcher().OnWorkerUnlisted(worker.entry.id, cluster.now());
         break;
+      case 5:
+        // Nothing is stored before the next event, which may be a takeover.
+        cluster.store_available = false;
+        break;
+      case 6: {
+        // An answer between two cuts extends the lease, if it may be extended.
+        cluster.store_available = false;
+        worker.partitioned = false;
+        cluster.Advance(milliseconds(900));
+        worker.partitioned = true;
+        break;
+      }
       default:
         worker.entry.draining = !worker.entry.draining;
         worker.entry.remaining = seconds(3);
@@ -169,6 +182,7 @@
   }
   INFO("seed " << seed);
   CHECK(cluster.violations.empty());
+  cluster.store_available = true;
   for (int i = 0; i < kWorkers; ++i) {
     SimulatedWorker& worker = cluster.worker(i);
     worker.partitioned = worker.entry.draining = false;
