Test that no lease is extended before the roster allows it

The seeded test did not see a lease that is extended before the row is stored without its end, also with outages of the store: the cut, the answer and the takeover have to hit one worker within its lease. A directed test does: it fails with the condition removed (a task runs twice) and passes.

--- a/gypsumfall/dispatch/takeovers_test.cc
+++ b/gypsumfall/dispatch/takeovers_test.cc
@@ -126,6 +126,31 @@
   CHECK(cluster.violations.empty());
 }
 
+// Guards against a lease that is extended beyond the end that the roster still
+// tells successors, which then start the task elsewhere.
+TEST_CASE("a lease is not extended before successors know of it") {
+  SimulatedCluster cluster(3);
+  SetRunTimes(cluster);
+  cluster.Submit(cluster.Record("long-a", Tasks(1, 3000, true)));
+  cluster.Advance(seconds(1));
+  const TaskName task{JobId("long-a"), 0, 0, 0};
+  const int host = WorkerOf(cluster, task, 3);
+  REQUIRE(host >= 0);
+  cluster.worker(host).partitioned = true;
+  cluster.TakeOver();
+  cluster.Advance(seconds(1));
+  // The worker answers while the store takes no change of the roster.
+  cluster.store_available = false;
+  cluster.worker(host).partitioned = false;
+  cluster.Advance(seconds(5));
+  cluster.worker(host).partitioned = true;
+  cluster.TakeOver();
+  cluster.store_available = true;
+  cluster.Advance(seconds(10));
+  CHECK(cluster.violations.empty());
+  CHECK(cluster.RunningNow(task) == 1);
+}
+
 // Guards against a shorter wait that lets a task run twice: a worker that is
 // cut off keeps its runs until its lease has expired on its own clock.
 TEST_CASE("no task runs twice while leaders and cuts follow each other") {
