Keep the whole slack after a holder that seems to be replaced

The claim that follows took the slack of the row, which is 0 after a planned release, while the present holder may go on for a lease.

Such a claim now sets the whole slack, as it did before. The new test fails with the line removed. Released rows and own rows still take over what the row says.

--- a/gypsumfall/leadership/leadership.cc
+++ b/gypsumfall/leadership/leadership.cc
@@ -165,12 +165,15 @@
     case ClaimReason::kHolderRefuses:
       // A network partition also refuses connections.
       return lease;
+    case ClaimReason::kHolderReplaced:
+      // A late answer of an earlier holder looks like that of a process which
+      // has replaced the present one.
+      return lease;
     case ClaimReason::kOwnRow:
       // A machine of the same name at another address may be cut off.
       if (record_->endpoint != endpoint_) return lease;
       [[fallthrough]];
     case ClaimReason::kReleased:
-    case ClaimReason::kHolderReplaced:
       // The holder sends no more orders, but the one before it may, if the
       // holder claimed because of refused connections.
       return record_->predecessor_slack.value_or(lease);
--- a/gypsumfall/leadership/leadership_test.cc
+++ b/gypsumfall/leadership/leadership_test.cc
@@ -204,6 +204,19 @@
   CHECK(restarted.predecessor_slack() == Duration{0});
 }
 
+// Guards against two leaders that both send orders, after a late answer of an
+// earlier holder was taken for that of a process that has replaced the holder.
+TEST_CASE("a holder that seems to be replaced keeps the whole slack") {
+  LeaderLease first = Host("a");
+  Elect(first, std::nullopt, RowVersion(0), kStart);
+  LeaderLease second = Host("b");
+  const LeaderRecord held = first.Renewal(kStart + seconds(5)).record;
+  second.Observe(held, RowVersion(5), kStart + seconds(5));
+  second.OnHolderReplaced();
+  Elect(second, held, RowVersion(5), kStart + seconds(5));
+  CHECK(second.predecessor_slack() == seconds(3));
+}
+
 // Guards against a slack that is forgotten with the leader that began it: the
 // holder before it may only be cut off.
 TEST_CASE("a release keeps the slack for an earlier holder that is cut off") {
