Remove no worker from the roster before the worker list is read

That costs up to a row for each worker twice, and no run starts on them between.

A worker now counts as leaving if it drains or was removed from the list in this epoch. The new test failed before (a removal is stored) and passes.

--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -76,6 +76,7 @@
   const bool moved = entry.endpoint != worker.entry.endpoint;
   worker.entry = std::move(entry);
   worker.listed = true;
+  worker.unlisted = false;
   const bool enters_roster = !worker.in_roster && !worker.recorded_lease_end &&
                              !IsIdleAndLeaving(worker);
   if (enters_roster || moved) roster_changes_.insert(worker.entry.id);
@@ -97,6 +98,7 @@
   Worker* worker = workers_.Find(id);
   if (worker == nullptr || !worker->listed) return;
   worker->listed = false;
+  worker->unlisted = true;
   AddEvent("worker no longer listed", {}, RunNumber(), id,
            std::to_string(worker->runs.size()) + " runs bound");
 }
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -116,6 +116,9 @@
   WorkerEntry entry;
   /// Present in the worker list.
   bool listed = false;
+  /// Was removed from the worker list in this epoch. Unset for a worker of the
+  /// roster before the list is read.
+  bool unlisted = false;
   /// The stored roster tells successors to wait for the worker, so that its
   /// lease may be extended.
   bool in_roster = false;
--- a/gypsumfall/dispatch/takeovers_test.cc
+++ b/gypsumfall/dispatch/takeovers_test.cc
@@ -3,6 +3,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <variant>
 
 #include "gypsumfall/dispatch/internal/simulated_cluster.h"
 
@@ -126,6 +127,30 @@
   CHECK(cluster.violations.empty());
 }
 
+/// Answers all lease orders of the dispatcher as a worker without runs.
+void AnswerLeaseOrders(Dispatcher& dispatcher, Time now) {
+  for (const Order& order : dispatcher.Decide(now)) {
+    const auto* lease = std::get_if<LeaseOrder>(&order);
+    if (lease == nullptr) continue;
+    LeaseReply reply;
+    reply.verdict = OrderVerdict::kAccepted;
+    reply.worker_clock = WorkerTime(seconds(50));
+    reply.incarnation = WallTime(1);
+    dispatcher.OnLeaseReply(*lease, reply, now, now, kWallClockStart);
+  }
+}
+
+// Guards against a successor that removes all idle workers from the roster and
+// adds them again, because they answer before the worker list is read.
+TEST_CASE("no worker leaves the roster before the worker list is read") {
+  Dispatcher dispatcher({}, Epoch(2), kSimulationStart);
+  dispatcher.RestoreRoster({{WorkerId("w0"), "w0:1", std::nullopt}}, false,
+                           kSimulationStart);
+  AnswerLeaseOrders(dispatcher, kSimulationStart);
+  dispatcher.Decide(kSimulationStart + milliseconds(100));
+  CHECK(dispatcher.TakeRecords(90).empty());
+}
+
 // Guards against a lease that is extended beyond the end that the roster still
 // tells successors, which then start the task elsewhere.
 TEST_CASE("a lease is not extended before successors know of it") {
--- a/gypsumfall/dispatch/worker_table.cc
+++ b/gypsumfall/dispatch/worker_table.cc
@@ -45,7 +45,7 @@
 }
 
 bool IsIdleAndLeaving(const Worker& worker) {
-  const bool leaving = !worker.listed || worker.entry.draining;
+  const bool leaving = worker.unlisted || worker.entry.draining;
   return leaving && worker.fenced && worker.lists_all_completions &&
          worker.runs.empty() && worker.unexpected_runs.empty() &&
          worker.pending_completions.empty();
