--- a/gypsumfall/dispatch/dispatcher_records.cc
+++ b/gypsumfall/dispatch/dispatcher_records.cc
@@ -123,13 +123,14 @@
   while (!roster_changes_.empty() && batch.size() < limit) {
     const WorkerId id = *roster_changes_.begin();
     roster_changes_.erase(roster_changes_.begin());
-    const Worker* worker = workers_.Find(id);
+    Worker* worker = workers_.Find(id);
     if (worker != nullptr && !dispatch_internal::IsIdleAndLeaving(*worker)) {
       batch.roster_entries.push_back(
           {id, worker->entry.endpoint, worker->recorded_lease_end});
-    } else {
-      batch.removed_from_roster.push_back(id);
+      continue;
     }
+    if (worker != nullptr) worker->in_roster = false;
+    batch.removed_from_roster.push_back(id);
   }
   // All entries are stored in this batch or an earlier one.
   if (roster_changes_.empty() && rejected_batches_.empty() &&
--- a/gypsumfall/dispatch/takeovers_test.cc
+++ b/gypsumfall/dispatch/takeovers_test.cc
@@ -151,6 +151,24 @@
   CHECK(dispatcher.TakeRecords(90).empty());
 }
 
+// Guards against runs on a worker that was removed from the roster, for which
+// no successor would wait.
+TEST_CASE(
+    "a worker that is removed from the roster is added before it is used") {
+  SimulatedCluster cluster(1);
+  WorkerEntry entry = cluster.worker(0).entry;
+  // The move changes the roster while the worker is idle and drains.
+  entry.draining = true;
+  entry.endpoint = "w0:2";
+  cluster.dispatcher().OnWorkerListed(entry, cluster.now());
+  const RecordBatch removal = cluster.dispatcher().TakeRecords(90);
+  REQUIRE(removal.removed_from_roster.size() == 1);
+  cluster.dispatcher().OnRecorded(removal);
+  entry.draining = false;
+  cluster.dispatcher().OnWorkerListed(entry, cluster.now());
+  CHECK(cluster.dispatcher().TakeRecords(90).roster_entries.size() == 1);
+}
+
 // Guards against a lease that is extended beyond the end that the roster still
 // tells successors, which then start the task elsewhere.
 TEST_CASE("a lease is not extended before successors know of it") {
