Judge the progress of runs that a new leader has adopted

So a run of finite length that stands still was moved by the leader that had started it, and never by one that had adopted it; its job waited until the worker left.

Only best-effort runs are adopted with an unknown share. The test failed before (the job is not completed after 10 s) and passes.

--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -30,6 +30,9 @@
 // the order is sent again.
 constexpr int kUnknownSentPercent = -100;
 
+// Share of runs that are never throttled.
+constexpr int kFullSpeedPercent = 100;
+
 // Time after which reports show the share that was ordered: the timeout of the
 // order, the measurement window of half a second, and the way of the reports.
 constexpr Duration kShareReportDelay = milliseconds(1500);
@@ -386,7 +389,9 @@
               .confirmed_at = now,
               .phase_changed_at = now,
               .progress_at = now,
-              .sent_percent = kUnknownSentPercent});
+              .sent_percent = job->spec_of(report.task).best_effort
+                                  ? kUnknownSentPercent
+                                  : kFullSpeedPercent});
 }
 
 void Dispatcher::RequeueUnlistedRuns(Worker& worker, const LeaseReply& reply,
--- a/gypsumfall/dispatch/takeovers_test.cc
+++ b/gypsumfall/dispatch/takeovers_test.cc
@@ -127,6 +127,24 @@
   CHECK(cluster.violations.empty());
 }
 
+// Guards against a run that makes no progress and is never moved, because the
+// leader that has adopted it does not judge its progress.
+TEST_CASE("a stalled run moves although the leader has changed") {
+  SimulatedCluster cluster(2);
+  SetRunTimes(cluster);
+  cluster.worker(0).stalls_runs = cluster.worker(1).stalls_runs = true;
+  cluster.Submit(cluster.Record("short-a", Tasks(1, 3000, false)));
+  cluster.Advance(milliseconds(200));
+  const TaskName task{JobId("short-a"), 0, 0, 0};
+  const int stalled = WorkerOf(cluster, task, 2);
+  REQUIRE(stalled >= 0);
+  cluster.worker(1 - stalled).stalls_runs = false;
+  cluster.TakeOver();
+  cluster.Advance(seconds(10));
+  CHECK(cluster.StateOf("short-a") == JobState::kCompleted);
+  CHECK(cluster.violations.empty());
+}
+
 /// Answers all lease orders of the dispatcher as a worker without runs.
 void AnswerLeaseOrders(Dispatcher& dispatcher, Time now) {
   for (const Order& order : dispatcher.Decide(now)) {
