--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -454,8 +454,9 @@
 bool Dispatcher::EarlierRunsKnown(const Job& job, const TaskName& name) const {
   if (predecessor_runs_known_ || job.record.accepted_epoch >= epoch_)
     return true;
-  // Until its slack has passed, a predecessor may take a worker that reports
-  // to this epoch for lost, and start its tasks elsewhere.
+  // Until its slack had passed, a predecessor may have taken a worker that
+  // reports to this epoch for lost, and started its tasks on one that has not
+  // reported. That one has to be waited for after the slack as well.
   if (settings_.predecessor_slack > Duration{0}) return false;
   // A worker that has not reported may hold another member of a gang, or the
   // successful end of a task of finite length.
