--- a/gypsumfall/leadership/leadership.cc
+++ b/gypsumfall/leadership/leadership.cc
@@ -163,11 +163,10 @@
     case ClaimReason::kLeaseExpired:
       return milliseconds(0);
     case ClaimReason::kHolderRefuses:
-      // A network partition also refuses connections.
-      return lease;
     case ClaimReason::kHolderReplaced:
-      // A late answer of an earlier holder looks like that of a process which
-      // has replaced the present one.
+      // A network partition also refuses connections, and a late answer of an
+      // earlier holder looks like that of a process which has replaced the
+      // present one.
       return lease;
     case ClaimReason::kOwnRow:
       // A machine of the same name at another address may be cut off.
