--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -46,6 +46,7 @@
 
 void Dispatcher::RestoreJob(JobRecord record, Time now, WallTime wall_now,
                             JobSlice slice) {
+  if (IsAway(record.id)) return;
   Job* job = AddJob(std::move(record), slice, now, wall_now);
   if (job == nullptr) return;
   QueueForDue(*job, now);
@@ -53,8 +54,8 @@
 
 void Dispatcher::RestoreProgress(const JobProgress& progress) {
   Job* job = jobs_.Find(progress.id);
-  if (job == nullptr) return;
-  if (IsFinal(job->state)) {
+  if (job == nullptr && !IsAway(progress.id)) return;
+  if (job == nullptr || IsFinal(job->state)) {
     obsolete_rows_.push_back({.job = progress.id});
     return;
   }
@@ -74,9 +75,10 @@
 
 void Dispatcher::RestoreProgress(const ChunkProgress& progress) {
   const Job* job = jobs_.Find(progress.row.job);
-  if (job == nullptr) return;
+  if (job == nullptr && !IsAway(progress.row.job)) return;
   const auto k = static_cast<std::size_t>(progress.row.occurrence);
-  if (IsFinal(job->state) || (k < job->completed.size() && job->completed[k])) {
+  if (job == nullptr || IsFinal(job->state) ||
+      (k < job->completed.size() && job->completed[k])) {
     obsolete_rows_.push_back(progress.row);
   } else {
     jobs_.Restore(progress);
@@ -102,6 +104,7 @@
 
 void Dispatcher::Submit(JobRecord record, Time now, WallTime wall_now,
                         JobSlice slice) {
+  if (IsAway(record.id)) return;
   Job* job = AddJob(std::move(record), slice, now, wall_now);
   if (job == nullptr) return;
   AddRoutineEvent("job submitted", {.job = job->record.id}, RunNumber(), {},
@@ -225,6 +228,11 @@
 
 JobStateReply Dispatcher::StateOf(const JobId& id) const {
   const Job* job = jobs_.Find(id);
+  if (job == nullptr && IsAway(id)) {
+    const MovedJob& moved = moved_jobs_.at(id);
+    if (IsFinal(moved.state)) return {true, moved.state};
+    return {true, moved.state, moved.holder};
+  }
   if (job == nullptr) return {};
   if (IsFinal(job->visible_state)) return {true, job->visible_state};
   return {true, job->started ? JobState::kRunning : JobState::kQueued};
--- a/gypsumfall/dispatch/dispatcher_completions.cc
+++ b/gypsumfall/dispatch/dispatcher_completions.cc
@@ -171,7 +171,9 @@
       LearnRunTime(*job, bound->second, now);
     UnbindRun(worker, end.task);
   }
-  if (job == nullptr) return 0;
+  // All runs of a job that is being moved are known to have ended, and its
+  // progress may be on its way to the store.
+  if (job == nullptr || job->moving_to) return 0;
   job->started = true;
   // The final state may not be stored yet. A successor that knows neither it
   // nor this end would start the task again.
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -368,8 +368,8 @@
 void Dispatcher::AdoptRun(Worker& worker, const RunReport& report, Time sent,
                           Time now) {
   Job* job = jobs_.Find(report.task.job);
-  if (job == nullptr || IsFinal(job->state) || !job->HasTask(report.task) ||
-      job->IsCompleted(report.task.occurrence)) {
+  if (job == nullptr || job->moving_to || IsFinal(job->state) ||
+      !job->HasTask(report.task) || job->IsCompleted(report.task.occurrence)) {
     return;
   }
   job->Open(report.task.occurrence);
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -107,6 +107,7 @@
     ExpireLeases(now);
     UpdatePredecessorRunsKnown();
     ApplyDeferredTransfers(now);
+    ApplyDeferredMoves(now);
     MovePausedRuns(now);
     MoveStalledRuns(now);
     DropUnusableReservations(now);
--- a/gypsumfall/dispatch/dispatcher_records.cc
+++ b/gypsumfall/dispatch/dispatcher_records.cc
@@ -65,7 +65,8 @@
 bool Dispatcher::HasRecords() const {
   return !rows_to_record_.empty() || !obsolete_rows_.empty() ||
          !expired_jobs_.empty() || !transfers_to_record_.empty() ||
-         !transfers_to_remove_.empty() || !roster_changes_.empty() ||
+         !transfers_to_remove_.empty() || !moves_to_remove_.empty() ||
+         !roster_changes_.empty() ||
          (old_roster_stored_ && rejected_batches_.empty());
 }
 
@@ -89,6 +90,7 @@
   MoveUpTo(limit - batch.size(), transfers_to_record_, batch.transfers);
   MoveUpTo(limit - batch.size(), transfers_to_remove_,
            batch.obsolete_transfers);
+  MoveUpTo(limit - batch.size(), moves_to_remove_, batch.obsolete_moves);
   TakeProgress(limit, batch);
   MoveUpTo(limit - batch.size(), obsolete_rows_, batch.obsolete_progress);
   MoveUpTo(limit - batch.size(), expired_jobs_, batch.expired);
@@ -151,7 +153,13 @@
   }
   if (IsFinal(job.state)) {
     if (row.stored) job.obsolete_rows.push_back({.job = job.record.id});
-    batch.ended.push_back(JobTable::ProgressOf(job));
+    if (job.other_home) {
+      batch.moves.push_back(MoveOf(job));
+    } else {
+      batch.ended.push_back(JobTable::ProgressOf(job));
+    }
+  } else if (job.moving_to) {
+    batch.moves.push_back(MoveOf(job));
   } else {
     row.stored = true;
     batch.progress.push_back(JobTable::ProgressOf(job));
@@ -165,12 +173,20 @@
 std::vector<JobId> Dispatcher::OnRecorded(const RecordBatch& batch) {
   std::vector<JobId> newly_visible;
   for (const JobProgress& ended : batch.ended) {
+    const auto moved = moved_jobs_.find(ended.id);
+    if (moved != moved_jobs_.end() && moved->second.has_own_row)
+      moves_to_remove_.push_back(ended.id);
     Job* job = jobs_.Find(ended.id);
     if (job == nullptr || IsFinal(job->visible_state)) continue;
     job->visible_state = job->state;
     --unstored_ended_jobs_;
     newly_visible.push_back(ended.id);
   }
+  for (const JobMove& move : batch.moves) {
+    OnMoveRecorded(move);
+    if (IsFinal(move.progress.state)) newly_visible.push_back(move.record.id);
+  }
+  for (const JobId& id : batch.obsolete_moves) OnOwnMoveRemoved(id);
   for (const LeaseHolder& holder : batch.roster_entries) {
     Worker* worker = workers_.Find(holder.id);
     // A change since the batch was taken is to be stored first.
@@ -214,6 +230,7 @@
   PutBack(batch.expired, expired_jobs_);
   PutBack(batch.transfers, transfers_to_record_);
   PutBack(batch.obsolete_transfers, transfers_to_remove_);
+  PutBack(batch.obsolete_moves, moves_to_remove_);
   for (const LeaseHolder& holder : batch.roster_entries)
     roster_changes_.insert(holder.id);
   roster_changes_.insert(batch.removed_from_roster.begin(),
@@ -223,6 +240,12 @@
 
 void Dispatcher::SetAside(RecordBatch batch, Time now) {
   std::string what = "no row";
+  for (const JobMove& move : batch.moves) {
+    Job* job = jobs_.Find(move.record.id);
+    if (job == nullptr || !job->moving_to) continue;
+    CancelMove(*job, now);
+    return;
+  }
   for (const QueuedRow& row : batch.queued_rows) {
     rejected_sequences_.insert(row.sequence);
     if (!row.recorded) continue;
--- a/gypsumfall/dispatch/dispatcher_reservations.cc
+++ b/gypsumfall/dispatch/dispatcher_reservations.cc
@@ -80,6 +80,21 @@
   task.reserved_on = WorkerId();
 }
 
+void Dispatcher::ReleaseReservationsOf(Job& job) {
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      std::vector<TaskName> reserved;
+      occurrence.steps[s].tasks.VisitChanged([&](int index, const Task& task) {
+        if (!task.reserved_on.empty())
+          reserved.push_back(
+              {job.record.id, number, static_cast<int>(s), index});
+      });
+      for (const TaskName& name : reserved)
+        ReleaseReservationOf(name, *jobs_.EditTask(name));
+    }
+  }
+}
+
 std::optional<dispatch_internal::Reservation> Dispatcher::ReservationOf(
     const TaskName& name, const Task& task) {
   const Worker* worker = workers_.Find(task.reserved_on);
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -77,6 +77,10 @@
   /// no longer needed.
   std::vector<TaskTransfer> transfers;
   std::vector<TaskName> obsolete_transfers;
+  /// Jobs given to other shards, and jobs whose moves by this shard are no
+  /// longer needed.
+  std::vector<JobMove> moves;
+  std::vector<JobId> obsolete_moves;
   /// Workers that may hold leases from now on, and those that no longer do.
   std::vector<LeaseHolder> roster_entries;
   std::vector<WorkerId> removed_from_roster;
@@ -87,8 +91,9 @@
   std::size_t size() const {
     return progress.size() + chunk_progress.size() + ended.size() +
            obsolete_progress.size() + expired.size() + transfers.size() +
-           obsolete_transfers.size() + roster_entries.size() +
-           removed_from_roster.size() + (remove_old_roster ? 1 : 0);
+           obsolete_transfers.size() + moves.size() + obsolete_moves.size() +
+           roster_entries.size() + removed_from_roster.size() +
+           (remove_old_roster ? 1 : 0);
   }
   bool empty() const { return size() == 0; }
 };
@@ -155,6 +160,11 @@
   /// @param old_version the roster is in one row, which is to be replaced.
   void RestoreRoster(const std::vector<LeaseHolder>& roster, bool old_version,
                      Time now);
+  /// Restores the moves that all shards have stored. Must be called after the
+  /// ended jobs are restored and before the others, because it decides which of
+  /// these are held here.
+  void RestoreMoves(const std::vector<JobMove>& moves, Time now,
+                    WallTime wall_now);
   /// Restores a transfer that this shard has stored. Must be called after the
   /// jobs are restored; the transfer is removed if its job is not among them.
   void RestoreTransfer(const TaskTransfer& transfer, Time now);
@@ -192,6 +202,31 @@
   /// names this shard. Does nothing if a later one is known.
   void ApplyTransfer(const TaskTransfer& transfer, Time now);
 
+  /// @param other shard that is asked to take the jobs. It is offered all jobs
+  ///   in turn.
+  /// @return at most `limit` jobs that no worker of this shard could run, and
+  ///   nothing of which runs, for `MoveJob`.
+  std::vector<JobOffer> JobsToMove(ShardId other, Time now, std::size_t limit);
+  /// @return whether workers of this shard could run the step of the job if all
+  ///   runs of finite length ended.
+  bool WantsJob(const JobOffer& offer, Time now);
+  /// Gives a waiting job to another shard. The move takes effect when the batch
+  /// with it is stored; until then the job does not start here.
+  /// @param epoch epoch of the leader that wants the job.
+  /// @return whether the job still waits.
+  bool MoveJob(const JobId& id, ShardId shard, Epoch epoch, Time now);
+  /// @return whether a move of the job is being stored, so that it cannot be
+  ///   cancelled at the moment.
+  bool IsMoving(const JobId& id) const;
+  /// Handles a move that another shard has stored, and runs the job if it names
+  /// this shard. Does nothing if a later one is known.
+  void ApplyMove(const JobMove& move, Time now, WallTime wall_now);
+  /// Handles the removal of the move that the home shard of a job had stored:
+  /// the final state of the job is stored there.
+  void OnHomeMoveRemoved(const JobId& id, Time now);
+  /// @return the jobs that were moved and have not ended, as far as known.
+  std::vector<JobId> MovedJobs() const;
+
   /// Adds a worker of the worker list, or updates its entry.
   void OnWorkerListed(WorkerEntry entry, Time now);
   /// Handles the removal of a worker from the worker list; its runs may
@@ -461,6 +496,7 @@
     int searches_ = 0;
   };
   void DropUnusableReservations(Time now);
+  void ReleaseReservationsOf(Job& job);
   void ReleaseAllReservations(Worker& worker);
   void ReleaseReservationOf(const TaskName& name, Task& task);
   /// Notes that the worker is no longer reserved for the task.
@@ -488,6 +524,43 @@
   bool HasUnexpectedRun(const TaskName& name) const;
   void ApplyDeferredTransfers(Time now);
 
+  // Moves of jobs.
+  /// What is known of a job that was moved.
+  struct MovedJob {
+    /// Number of the latest known move, the shard that it names, and the state
+    /// of the job at that time.
+    std::uint64_t number = 0;
+    ShardId holder;
+    JobState state = JobState::kQueued;
+    /// This shard has stored a move of the job.
+    bool has_own_row = false;
+    /// Time at which the final state was known to be stored by the home shard.
+    std::optional<Time> finished;
+  };
+  /// @return a ready step that has waited for some time and that no worker here
+  ///   could run, if the job may be moved; otherwise null.
+  const StepSpec* FindUnplaceableStep(const JobId& id, Time now);
+  bool HasBoundRun(const Job& job) const;
+  /// Removes a job from what is scheduled; its state stays.
+  void Unschedule(Job& job);
+  /// Schedules a job again whose move was not stored.
+  void CancelMove(Job& job, Time now);
+  JobMove MoveOf(const Job& job) const;
+  /// Adds a job that another shard has given to this one.
+  Job* AddMovedJob(const JobMove& move, Time now, WallTime wall_now);
+  /// Stores the final state of a job that ended in another shard.
+  void AddJobEndedElsewhere(const JobMove& move);
+  void OnMoveRecorded(const JobMove& move);
+  void OnOwnMoveRemoved(const JobId& id);
+  /// Removes a job of another home shard, which has stored its final state.
+  void ForgetEndedElsewhere(const JobId& id, const MovedJob& moved);
+  /// @return whether another shard holds the job.
+  bool IsAway(const JobId& id) const;
+  /// @return whether a worker reports a run of the job that this dispatcher has
+  ///   not started and is stopping.
+  bool HasUnexpectedRunOf(const JobId& id) const;
+  void ApplyDeferredMoves(Time now);
+
   void StoreEvent(DispatchEvent event);
   void AddEvent(std::string_view message, const TaskName& task, RunNumber run,
                 const WorkerId& worker, std::string reason = {});
@@ -549,6 +622,17 @@
   std::map<ShardId, TaskName> last_offered_;
   /// Transfers to this shard of tasks that have an unexpected run.
   std::vector<TaskTransfer> deferred_transfers_;
+  std::map<JobId, MovedJob> moved_jobs_;
+  std::deque<JobId> moves_to_remove_;
+  /// Last job of the latest offer, by the shard that it was made to.
+  std::map<ShardId, JobId> last_offered_job_;
+  /// Moves to this shard of jobs that have an unexpected run.
+  struct DeferredMove {
+    JobMove move;
+    Time received{};
+    WallTime wall_received{0};
+  };
+  std::vector<DeferredMove> deferred_moves_;
   std::size_t unstored_ended_jobs_ = 0;
   /// Workers whose entries in the roster have changed.
   std::set<WorkerId> roster_changes_;
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -92,6 +92,19 @@
   /// occurrence is due.
   Time added{};
   WallTime first_due_after{0};
+  /// A shard to which the job is being moved, and an epoch of its leader. Until
+  /// the move is stored the job is not started here.
+  struct Destination {
+    ShardId shard;
+    Epoch epoch;
+  };
+  std::optional<Destination> moving_to;
+  /// The store has rejected a move of the job, or would.
+  bool immovable = false;
+  /// Home shard, if that is another one.
+  std::optional<ShardId> other_home;
+  /// Number of the latest known move of the job; 0 if there is none.
+  std::uint64_t move_number = 0;
   /// Highest run number that earlier epochs may have used.
   std::uint64_t last_run_of_earlier_epochs = 0;
 
@@ -130,6 +143,8 @@
   /// chunks must be applied after that of jobs.
   void Restore(const JobProgress& progress);
   void Restore(const ChunkProgress& progress);
+  /// Adds the progress of tasks that another shard has stored.
+  void RestoreMoved(const JobMove& move);
   /// Adds a job that ended in an earlier epoch.
   void AddEnded(const JobProgress& progress);
   /// Removes all state that a job does not need once it has ended.
@@ -155,7 +170,8 @@
   std::uint64_t CountWaiting(const QueueId& queue) const;
 
   /// Expires at most `limit` jobs that ended before `ended_before`. Slices,
-  /// which have no rows in the shard, are removed at once.
+  /// which have no rows in the shard, are removed at once. Jobs of other home
+  /// shards do not expire here.
   /// @return the ids of the other expired jobs. They stay known until `Remove`
   ///   is called for them.
   std::vector<JobId> TakeExpired(WallTime ended_before, std::size_t limit);
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -96,7 +96,8 @@
     Advance(milliseconds(100));
   }
 
-  void AddWorker(int index, Resources capacity) {
+  /// @param label further label of the worker, if not empty.
+  void AddWorker(int index, Resources capacity, const std::string& label = {}) {
     const std::string name = "w" + std::to_string(index);
     SimulatedWorker worker;
     worker.entry = {.id = WorkerId(name),
@@ -107,6 +108,7 @@
                     .labels = {WorkerLabel("a"),
                                WorkerLabel("rack" + std::to_string(index / 2))},
                     .rack = RackId("rack" + std::to_string(index / 2))};
+    if (!label.empty()) worker.entry.labels.emplace_back(label);
     worker.clock_start = now_ - seconds(50);
     workers_.emplace(worker.entry.id, worker);
     dispatcher_->OnWorkerListed(worker.entry, now_);
@@ -136,6 +138,7 @@
 
   void Submit(const JobRecord& record, JobSlice slice = {}) {
     stored_jobs_[record.id] = record;
+    specs[record.id] = record.spec;
     slices_[record.id] = slice;
     dispatcher_->Submit(record, now_, WallNow(), slice);
   }
@@ -155,6 +158,7 @@
   void TakeOver(Duration predecessor_slack = Duration{0}) {
     const Epoch epoch = dispatcher_->epoch().Next();
     open_lease_calls_.clear();
+    unanswered_batch_.reset();
     dispatcher_.emplace(
         DispatchSettings{.shard = shard_,
                          .predecessor_slack = predecessor_slack},
@@ -162,6 +166,7 @@
     for (const auto& [id, ended] : stored_ended_) {
       dispatcher_->RestoreEnded(ended);
     }
+    dispatcher_->RestoreMoves(read_moves(), now_, WallNow());
     for (const auto& [id, record] : stored_jobs_) {
       if (!stored_ended_.contains(id) && !unread_jobs.contains(id) &&
           !cancelled_slices.contains(id)) {
@@ -220,6 +225,10 @@
   JobState StateOf(const std::string& id) {
     return dispatcher_->StateOf(JobId(id)).state;
   }
+  /// @return whether the final state of the job is stored.
+  bool HasStoredEnd(const JobId& id) const {
+    return stored_ended_.contains(id);
+  }
 
   /// @return the number of workers on which the task runs now.
   int RunningNow(const TaskName& name) const {
@@ -256,6 +265,8 @@
   /// Returns the usage that a worker reports for a run.
   std::function<double(const SimulatedWorker&, const TaskName&)> usage_of;
   bool store_available = true;
+  /// Returns the time after which the answer to a stored batch arrives.
+  std::function<Duration()> record_answer_delay = [] { return Duration{0}; };
   /// Returns whether the store rejects the batch, if set.
   std::function<bool(const RecordBatch&)> rejects;
   /// Jobs that are stored after a successor has read the job table.
@@ -264,6 +275,19 @@
   std::set<JobId> cancelled_slices;
   /// Transfers that this shard has stored and not removed.
   std::map<TaskName, TaskTransfer> stored_transfers;
+  /// Moves that this shard has stored and not removed, and what a successor
+  /// reads: those of all shards.
+  std::map<JobId, JobMove> stored_moves;
+  std::function<std::vector<JobMove>()> read_moves = [this] {
+    std::vector<JobMove> moves;
+    for (const auto& [id, move] : stored_moves) moves.push_back(move);
+    return moves;
+  };
+  /// Called with each move that this shard stores or removes.
+  std::function<void(const JobMove&)> on_move_stored;
+  std::function<void(const JobId&)> on_move_removed;
+  /// Specifications of all jobs whose tasks may start here.
+  std::map<JobId, JobSpec> specs;
   /// Rows with progress.
   std::map<JobId, JobProgress> stored_progress;
   std::map<ProgressRowId, ChunkProgress> stored_chunks;
@@ -273,6 +297,10 @@
   /// Stores the records that wait, as `Advance` does while the store is
   /// available.
   void StoreRecords() {
+    if (unanswered_batch_) {
+      if (now_ < batch_answered_at_) return;
+      dispatcher_->OnRecorded(*std::exchange(unanswered_batch_, std::nullopt));
+    }
     if (!dispatcher_->HasRecords()) return;
     const RecordBatch batch = dispatcher_->TakeRecords(90);
     if (rejects && rejects(batch)) {
@@ -301,11 +329,24 @@
     for (const TaskName& name : batch.obsolete_transfers) {
       stored_transfers.erase(name);
     }
+    for (const JobMove& move : batch.moves) {
+      stored_moves[move.record.id] = move;
+      if (on_move_stored) on_move_stored(move);
+    }
+    for (const JobId& id : batch.obsolete_moves) {
+      stored_moves.erase(id);
+      if (on_move_removed) on_move_removed(id);
+    }
     for (const LeaseHolder& holder : batch.roster_entries)
       stored_roster_[holder.id] = holder;
     for (const WorkerId& id : batch.removed_from_roster)
       stored_roster_.erase(id);
-    dispatcher_->OnRecorded(batch);
+    batch_answered_at_ = now_ + record_answer_delay();
+    if (batch_answered_at_ > now_) {
+      unanswered_batch_ = batch;
+    } else {
+      dispatcher_->OnRecorded(batch);
+    }
   }
 
  private:
@@ -445,8 +486,8 @@
     const int start = ++starts[order.task];
     auto [run_time, end] = run_of(order.task, start);
     const bool long_running =
-        stored_jobs_.at(order.task.job)
-            .spec.steps[static_cast<std::size_t>(order.task.step)]
+        specs.at(order.task.job)
+            .steps[static_cast<std::size_t>(order.task.step)]
             .long_running;
     if (long_running && worker.long_running_fail_after) {
       run_time = *worker.long_running_fail_after;
@@ -464,10 +505,10 @@
   void CheckCapacity(const SimulatedWorker& worker) {
     Resources used;
     for (const auto& [name, run] : worker.runs) {
-      const auto job = stored_jobs_.find(name.job);
-      if (job == stored_jobs_.end()) continue;
+      const auto job = specs.find(name.job);
+      if (job == specs.end()) continue;
       const StepSpec& spec =
-          job->second.spec.steps[static_cast<std::size_t>(name.step)];
+          job->second.steps[static_cast<std::size_t>(name.step)];
       Resources need = spec.need;
       if (spec.best_effort) need.cpu = MilliCores(0);
       used += need;
@@ -503,6 +544,8 @@
   std::optional<Dispatcher> dispatcher_;
   std::map<WorkerId, SimulatedWorker> workers_;
   std::vector<std::pair<LeaseOrder, Time>> open_lease_calls_;
+  std::optional<RecordBatch> unanswered_batch_;
+  Time batch_answered_at_{};
   std::map<JobId, JobRecord> stored_jobs_;
   std::map<JobId, JobSlice> slices_;
   std::map<JobId, JobProgress> stored_ended_;
--- a/gypsumfall/dispatch/internal/simulated_shards.h
+++ b/gypsumfall/dispatch/internal/simulated_shards.h
@@ -20,8 +20,9 @@
 
 namespace gypsumfall {
 
-/// Several shards with sliced jobs. Checks over all shards that no task runs
-/// twice at a time and that the run numbers of a task rise.
+/// Several shards with sliced jobs and with jobs that one shard holds at a
+/// time. Checks over all shards that no task runs twice at a time and that the
+/// run numbers of a task rise.
 class SimulatedShards {
  public:
   explicit SimulatedShards(int shard_count) {
@@ -32,6 +33,14 @@
           [this](const TaskTransfer& transfer) {
             changes_.emplace_back(transfer);
           };
+      shards_.back()->cluster.on_move_stored = [this](const JobMove& move) {
+        changes_.emplace_back(move);
+        ++move_count_;
+      };
+      shards_.back()->cluster.on_move_removed = [this, shard](const JobId& id) {
+        if (homes_.at(id) == shard) changes_.emplace_back(HomeMoveRemoved{id});
+      };
+      shards_.back()->cluster.read_moves = [this] { return StoredMoves(); };
     }
   }
 
@@ -52,6 +61,43 @@
     }
   }
 
+  /// Submits a job that is not sliced to its home shard.
+  void SubmitWhole(int home, const std::string& id, const JobSpec& spec,
+                   int max_attempts = 2) {
+    homes_[JobId(id)] = ShardId(static_cast<std::uint64_t>(home));
+    for (auto& other : shards_) other->cluster.specs[JobId(id)] = spec;
+    shard(home).Submit(shard(home).Record(id, spec, max_attempts));
+  }
+
+  /// @return the state of a job that is not sliced, as a host that starts at
+  ///   the home shard finds it.
+  JobStateReply StateOf(const JobId& id) {
+    JobStateReply reply = DispatcherOf(homes_.at(id)).StateOf(id);
+    for (int hops = 0; reply.moved_to && hops < shard_count(); ++hops) {
+      const JobStateReply next = DispatcherOf(*reply.moved_to).StateOf(id);
+      if (!next.known) break;
+      reply = next;
+    }
+    return reply;
+  }
+
+  /// Cancels a job that is not sliced like a host that repeats the call until
+  /// the shard that holds the job has answered.
+  /// @return whether that shard was found.
+  bool CancelWhole(const JobId& id) {
+    ShardId holder = homes_.at(id);
+    for (int hops = 0; hops <= shard_count(); ++hops) {
+      SimulatedCluster& cluster = shard(static_cast<int>(holder.value()));
+      if (cluster.dispatcher().IsMoving(id)) return false;
+      if (cluster.dispatcher().Cancel(id, now(), cluster.WallNow()))
+        return true;
+      const JobStateReply reply = cluster.dispatcher().StateOf(id);
+      if (!reply.moved_to) return false;
+      holder = *reply.moved_to;
+    }
+    return false;
+  }
+
   /// Stores the cancellation of a sliced job; shards that read changes apply
   /// it.
   void Cancel(const JobId& id) {
@@ -68,6 +114,8 @@
         if (shards_[static_cast<std::size_t>(i)]->reads_changes) ReadChanges(i);
         DeliverReply(i);
         if (offers_tasks && now() >= NextOffer(i)) OfferTasks(i);
+        DeliverJobReply(i);
+        if (offers_jobs && now() >= NextJobOffer(i)) OfferJobs(i);
       }
       CheckRuns();
     }
@@ -86,13 +134,18 @@
     }
   }
 
-  /// Applies a transfer again that the shard has read before.
-  /// @param position index of the change, of which transfers count only.
+  /// Applies a transfer or move again that the shard has read before.
+  /// @param position index of the change, of which only those count.
   void ReadAgain(int index, std::size_t position) {
     Shard& reader = *shards_[static_cast<std::size_t>(index)];
     if (position >= reader.position) return;
     if (const auto* transfer = std::get_if<TaskTransfer>(&changes_[position]))
       reader.cluster.dispatcher().ApplyTransfer(*transfer, now());
+    // A successor reads no changes from before its takeover.
+    if (position >= reader.first_position &&
+        std::holds_alternative<JobMove>(changes_[position])) {
+      ApplyChange(reader, changes_[position]);
+    }
   }
 
   /// Replaces the scheduler of a shard by a successor, which reads what all
@@ -106,7 +159,7 @@
         successor.cluster.dispatcher().ApplyTransfer(transfer, now());
       }
     }
-    successor.position = changes_.size();
+    successor.position = successor.first_position = changes_.size();
   }
 
   /// Offers the waiting tasks of a shard to the next other shard.
@@ -131,6 +184,39 @@
     DeliverReply(index);
   }
 
+  /// Offers the waiting jobs of a shard to the next other shard.
+  void OfferJobs(int index) {
+    Shard& giver = *shards_[static_cast<std::size_t>(index)];
+    giver.next_job_offer = now() + kOfferInterval;
+    if (giver.job_reply) return;
+    const int other = (index + giver.next_job_offset) % shard_count();
+    const ShardId other_id(static_cast<std::uint64_t>(other));
+    const std::vector<JobOffer> offers = giver.cluster.dispatcher().JobsToMove(
+        other_id, now(), kMaxJobsPerOffer);
+    if (offers.empty()) return;
+    giver.next_job_offset = giver.next_job_offset % (shard_count() - 1) + 1;
+    Dispatcher& receiver = shard(other).dispatcher();
+    JobReply reply{.arrives = now() + reply_delay(),
+                   .shard = other_id,
+                   .epoch = receiver.epoch(),
+                   .wanted = {}};
+    for (const JobOffer& offer : offers) {
+      if (receiver.WantsJob(offer, now())) reply.wanted.push_back(offer.job);
+    }
+    giver.job_reply = std::move(reply);
+    DeliverJobReply(index);
+  }
+
+  /// @return the moves that all shards have stored.
+  std::vector<JobMove> StoredMoves() const {
+    std::vector<JobMove> moves;
+    for (const auto& other : shards_) {
+      for (const auto& [id, move] : other->cluster.stored_moves)
+        moves.push_back(move);
+    }
+    return moves;
+  }
+
   /// @return the number of runs of the task in all shards.
   int RunningNow(const TaskName& name) const {
     int count = 0;
@@ -149,6 +235,17 @@
           return std::holds_alternative<TaskTransfer>(change);
         }));
   }
+  /// @return the number of moves that shards have stored, ends included.
+  int move_count() const { return move_count_; }
+  /// @return the number of starts of the task in all shards.
+  int StartsOf(const TaskName& name) const {
+    int count = 0;
+    for (const auto& other : shards_) {
+      const auto found = other->cluster.starts.find(name);
+      if (found != other->cluster.starts.end()) count += found->second;
+    }
+    return count;
+  }
   /// @return the number of stored changes that shards read.
   std::size_t change_count() const { return changes_.size(); }
   /// @return descriptions of violated invariants.
@@ -161,8 +258,9 @@
     return all;
   }
 
-  /// Whether shards offer waiting tasks to each other.
+  /// Whether shards offer waiting tasks, and waiting jobs, to each other.
   bool offers_tasks = true;
+  bool offers_jobs = true;
   /// Returns the time after which the answer to an offer is applied.
   std::function<Duration()> reply_delay = [] { return Duration{0}; };
 
@@ -170,6 +268,7 @@
   // Those of the transfer service of the scheduler.
   static constexpr Duration kOfferInterval = milliseconds(500);
   static constexpr std::size_t kMaxTasksPerOffer = 16;
+  static constexpr std::size_t kMaxJobsPerOffer = 64;
 
   /// The answer to an offer of tasks.
   struct Reply {
@@ -178,6 +277,14 @@
     std::vector<TaskName> reserved;
   };
 
+  /// The answer to an offer of jobs.
+  struct JobReply {
+    Time arrives{};
+    ShardId shard;
+    Epoch epoch;
+    std::vector<JobId> wanted;
+  };
+
   struct Shard {
     explicit Shard(ShardId id) : cluster(0, {}, id) {}
 
@@ -185,9 +292,19 @@
     bool reads_changes = true;
     /// Number of changes that the scheduler has read.
     std::size_t position = 0;
+    /// Number of changes that were stored before its takeover.
+    std::size_t first_position = 0;
     Time next_offer{};
     int next_offset = 1;
     std::optional<Reply> reply;
+    Time next_job_offer{};
+    int next_job_offset = 1;
+    std::optional<JobReply> job_reply;
+  };
+
+  /// The home shard of a job has removed its move.
+  struct HomeMoveRemoved {
+    JobId id;
   };
 
   struct LatestRun {
@@ -196,8 +313,16 @@
     WorkerId worker;
   };
 
-  /// A stored transfer, or the id of a cancelled job.
-  using Change = std::variant<TaskTransfer, JobId>;
+  /// A stored transfer or move, or the id of a cancelled job.
+  using Change = std::variant<TaskTransfer, JobId, JobMove, HomeMoveRemoved>;
+
+  Dispatcher& DispatcherOf(ShardId id) {
+    return shard(static_cast<int>(id.value())).dispatcher();
+  }
+
+  Time NextJobOffer(int index) const {
+    return shards_[static_cast<std::size_t>(index)]->next_job_offer;
+  }
 
   Time NextOffer(int index) const {
     return shards_[static_cast<std::size_t>(index)]->next_offer;
@@ -207,6 +332,10 @@
     Dispatcher& dispatcher = reader.cluster.dispatcher();
     if (const auto* transfer = std::get_if<TaskTransfer>(&change)) {
       dispatcher.ApplyTransfer(*transfer, now());
+    } else if (const auto* move = std::get_if<JobMove>(&change)) {
+      dispatcher.ApplyMove(*move, now(), reader.cluster.WallNow());
+    } else if (const auto* removed = std::get_if<HomeMoveRemoved>(&change)) {
+      dispatcher.OnHomeMoveRemoved(removed->id, now());
     } else {
       dispatcher.Cancel(std::get<JobId>(change), now(),
                         reader.cluster.WallNow());
@@ -222,6 +351,16 @@
     giver.reply.reset();
   }
 
+  void DeliverJobReply(int index) {
+    Shard& giver = *shards_[static_cast<std::size_t>(index)];
+    if (!giver.job_reply || now() < giver.job_reply->arrives) return;
+    for (const JobId& id : giver.job_reply->wanted) {
+      giver.cluster.dispatcher().MoveJob(id, giver.job_reply->shard,
+                                         giver.job_reply->epoch, now());
+    }
+    giver.job_reply.reset();
+  }
+
   void CheckRuns() {
     std::map<TaskName, int> counts;
     for (std::size_t i = 0; i < shards_.size(); ++i) {
@@ -255,6 +394,9 @@
 
   std::vector<std::unique_ptr<Shard>> shards_;
   std::vector<Change> changes_;
+  int move_count_ = 0;
+  /// Home shards of the jobs that are not sliced.
+  std::map<JobId, ShardId> homes_;
   std::map<TaskName, LatestRun> latest_runs_;
   std::vector<std::string> violations_;
 };
--- a/gypsumfall/dispatch/job_moves_test.cc
+++ b/gypsumfall/dispatch/job_moves_test.cc
@@ -1,28 +1,83 @@
-// Tests of jobs that no worker of their shard can run.
+// Tests moves of jobs between shards.
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
-#include "gypsumfall/dispatch/internal/simulated_cluster.h"
+#include "gypsumfall/dispatch/internal/simulated_shards.h"
 
 namespace gypsumfall {
 namespace {
 
+constexpr std::int64_t kMilliCoresPerCore = 1000;
+
 Resources Cores(int count) {
-  return {MilliCores(1000 * count), MebiBytes(32000), Accelerators(0)};
+  return {MilliCores(kMilliCoresPerCore * count), MebiBytes(32000),
+          Accelerators(0)};
+}
+
+StepSpec StepOf(int tasks, int cores) {
+  return {.task_count = tasks,
+          .need = {MilliCores(kMilliCoresPerCore * cores), MebiBytes(100),
+                   Accelerators(0)},
+          .declared_run_time = milliseconds(400)};
+}
+
+StepSpec LabelledStep(int tasks, int cores, const std::string& label) {
+  StepSpec step = StepOf(tasks, cores);
+  step.required_label = WorkerLabel(label);
+  return step;
 }
 
-JobSpec SpecOf(int cores, const std::string& label) {
+JobSpec SpecOf(std::vector<StepSpec> steps) {
   JobSpec spec;
-  spec.steps.push_back(
-      {.need = {MilliCores(1000 * cores), MebiBytes(100), Accelerators(0)},
-       .declared_run_time = milliseconds(400),
-       .required_label = WorkerLabel(label)});
+  spec.steps = std::move(steps);
   return spec;
 }
 
+const JobId kJob("job");
+
+TaskName TaskAt(int step, int index = 0) { return {kJob, 0, step, index}; }
+
+/// Shards of which the first one is the home of the job.
+class Shards : public SimulatedShards {
+ public:
+  explicit Shards(int count = 2) : SimulatedShards(count) {}
+
+  void SubmitJob(const JobSpec& spec, int max_attempts = 2) {
+    SubmitWhole(0, kJob.str(), spec, max_attempts);
+  }
+  JobState State() { return StateOf(kJob).state; }
+
+  /// Checks that the job is completed, that its tasks started once, and that no
+  /// row of a move is left.
+  void CheckCompletedOnce(const JobSpec& spec) {
+    CHECK(State() == JobState::kCompleted);
+    CHECK(shard(0).HasStoredEnd(kJob));
+    for (std::size_t s = 0; s < spec.steps.size(); ++s) {
+      for (int i = 0; i < spec.steps[s].task_count; ++i)
+        CHECK(StartsOf(TaskAt(static_cast<int>(s), i)) == 1);
+    }
+    CheckNoMoveIsLeft();
+  }
+
+  void CheckNoMoveIsLeft() {
+    CHECK(StoredMoves().empty());
+    for (int i = 0; i < shard_count(); ++i) {
+      CHECK_FALSE(shard(i).stored_progress.contains(kJob));
+      for (const auto& [row, chunk] : shard(i).stored_chunks)
+        CHECK(row.job != kJob);
+    }
+    CHECK(Violations().empty());
+  }
+};
+
 // Guards against a log that does not tell a shard without any worker that could
 // run a step from one whose workers are busy.
 TEST_CASE("the reason for a wait tells whether a worker could run the step") {
@@ -31,11 +86,11 @@
     return std::pair{Duration(seconds(100)), RunOutcome::kDone};
   };
   for (const char* id : {"first", "second"})
-    cluster.Submit(cluster.Record(id, SpecOf(8, "rack0")));
+    cluster.Submit(cluster.Record(id, SpecOf({LabelledStep(1, 8, "rack0")})));
   cluster.Advance(milliseconds(100));
   for (const char* label : {"rack0", "b"}) {
     cluster.dispatcher().TakeEvents();
-    cluster.Submit(cluster.Record(label, SpecOf(2, label)));
+    cluster.Submit(cluster.Record(label, SpecOf({LabelledStep(1, 2, label)})));
     cluster.Advance(seconds(3));
     std::vector<std::string> reasons;
     for (const DispatchEvent& event : cluster.dispatcher().TakeEvents()) {
@@ -50,5 +105,577 @@
   }
 }
 
+// Guards against an accepted job that waits for ever in a shard no worker of
+// which has what it requires, beside one whose workers have it (review/9).
+TEST_CASE("a job that no worker of its shard can run runs in another shard") {
+  Shards shards;
+  shards.shard(0).AddWorker(0, Cores(8));
+  shards.shard(1).AddWorker(2, Cores(8));
+  JobSpec spec;
+  SECTION("for want of the label") {
+    shards.shard(1).AddWorker(3, Cores(8), "b");
+    spec = SpecOf({LabelledStep(2, 2, "b")});
+  }
+  SECTION("for want of the label, for a best-effort step") {
+    shards.shard(1).AddWorker(3, Cores(8), "b");
+    spec = SpecOf({LabelledStep(2, 2, "b")});
+    spec.steps[0].best_effort = true;
+  }
+  SECTION("since it is too large for each worker") {
+    shards.shard(1).AddWorker(3, Cores(20));
+    spec = SpecOf({StepOf(1, 12)});
+  }
+  SECTION("since its gang is too large for all workers") {
+    shards.shard(1).AddWorker(3, Cores(8));
+    spec = SpecOf({StepOf(6, 2)});
+    spec.steps[0].gang = true;
+  }
+  SECTION("since a worker may hold one task of its gang") {
+    shards.shard(1).AddWorker(3, Cores(8));
+    spec = SpecOf({StepOf(2, 1)});
+    spec.steps[0].gang = true;
+    spec.steps[0].max_per_worker = 1;
+  }
+  SECTION("for want of the label in a rack") {
+    shards.shard(1).AddWorker(3, Cores(8), "b");
+    spec = SpecOf({LabelledStep(2, 2, "b")});
+    spec.steps[0].same_rack = true;
+    spec.steps[0].data_rack = RackId("rack0");
+  }
+  shards.Advance(milliseconds(100));
+  shards.SubmitJob(spec);
+  shards.Advance(seconds(4));
+  shards.CheckCompletedOnce(spec);
+}
+
+// Guards against the same for jobs that were accepted, or had begun, before the
+// shard lost its only worker with the label.
+TEST_CASE("a job moves when its shard loses the workers it requires") {
+  Shards shards;
+  shards.shard(0).AddWorker(0, Cores(8), "b");
+  shards.shard(0).AddWorker(1, Cores(8));
+  shards.shard(1).AddWorker(2, Cores(8), "b");
+  shards.Advance(milliseconds(100));
+  JobSpec spec = SpecOf({StepOf(2, 1), LabelledStep(2, 1, "b")});
+  spec.steps[1].after = {0};
+  bool lasts = false;
+  SECTION("before the step is ready") {}
+  SECTION("for a step that runs until its job is cancelled") {
+    spec.steps[1].long_running = lasts = true;
+    for (int i = 0; i < 2; ++i) {
+      shards.shard(i).run_of = [](const TaskName& task, int) {
+        return std::pair{task.step == 1 ? Duration(seconds(1000))
+                                        : Duration(milliseconds(300)),
+                         RunOutcome::kDone};
+      };
+    }
+  }
+  shards.SubmitJob(spec);
+  shards.Advance(milliseconds(200));
+  shards.shard(0).Crash(0);
+  shards.shard(0).dispatcher().OnWorkerUnlisted(WorkerId("w0"), shards.now());
+  // The lease of the worker expires within 6.3 s.
+  shards.Advance(seconds(11));
+  if (!lasts) {
+    CHECK(shards.State() == JobState::kCompleted);
+    CHECK(shards.StartsOf(TaskAt(0, 1)) + shards.StartsOf(TaskAt(0, 0)) <= 4);
+    shards.CheckNoMoveIsLeft();
+    return;
+  }
+  CHECK(shards.shard(1).RunningNow(TaskAt(1, 0)) == 1);
+  CHECK(shards.shard(1).RunningNow(TaskAt(1, 1)) == 1);
+  CHECK(shards.State() == JobState::kRunning);
+  CHECK(shards.CancelWhole(kJob));
+  shards.Advance(seconds(1));
+  CHECK(shards.State() == JobState::kCancelled);
+  CHECK(shards.RunningNow(TaskAt(1, 0)) + shards.RunningNow(TaskAt(1, 1)) == 0);
+  shards.CheckNoMoveIsLeft();
+}
+
+// Guards against tasks that are done and run again, or never run, when the
+// steps of a job require workers of different shards.
+TEST_CASE("the progress of a job moves with it") {
+  Shards shards(3);
+  for (int i = 0; i < 3; ++i)
+    shards.shard(i).AddWorker(i, Cores(4), "only" + std::to_string(i));
+  shards.Advance(milliseconds(100));
+  JobSpec spec =
+      SpecOf({StepOf(3, 1), LabelledStep(2, 1, "only1"),
+              LabelledStep(2, 1, "only2"), LabelledStep(1, 1, "only0")});
+  for (int s = 1; s < 4; ++s)
+    spec.steps[static_cast<std::size_t>(s)].after = {s - 1};
+  const bool repeated = GENERATE(false, true);
+  if (repeated) {
+    spec.repetitions = 2;
+    spec.first_due = shards.shard(0).WallNow();
+    spec.interval = WallTime(7000);
+  }
+  const int replaced = GENERATE(-1, 0, 1, 2);
+  shards.SubmitJob(spec);
+  for (int i = 0; i < 60; ++i) {
+    if (replaced >= 0 && i % 25 == 24) shards.TakeOver(replaced);
+    shards.Advance(milliseconds(500));
+  }
+  shards.CheckCompletedOnce(spec);
+  if (repeated) {
+    for (int s = 0; s < 4; ++s) CHECK(shards.StartsOf({kJob, 1, s, 0}) == 1);
+  }
+}
+
+// Guards against more attempts than a queue allows, and against a failed job
+// that is shown as running, because the failures stay in another shard.
+TEST_CASE("failed attempts of a job are counted across moves") {
+  Shards shards;
+  shards.shard(0).AddWorker(0, Cores(4), "b");
+  shards.shard(0).AddWorker(1, Cores(4));
+  shards.shard(1).AddWorker(2, Cores(4), "b");
+  shards.Advance(milliseconds(100));
+  for (int i = 0; i < 2; ++i) {
+    shards.shard(i).run_of = [](const TaskName&, int) {
+      return std::pair{Duration(milliseconds(300)), RunOutcome::kFailed};
+    };
+  }
+  shards.SubmitJob(SpecOf({LabelledStep(1, 1, "b")}), 3);
+  shards.Advance(milliseconds(400));
+  REQUIRE(shards.StartsOf(TaskAt(0)) >= 1);
+  shards.shard(0).Crash(0);
+  shards.Advance(seconds(12));
+  // The crash may have hidden the end of one run.
+  CHECK(shards.StartsOf(TaskAt(0)) <= 4);
+  CHECK(shards.shard(1).starts[TaskAt(0)] >= 1);
+  CHECK(shards.State() == JobState::kFailed);
+  shards.CheckNoMoveIsLeft();
+}
+
+// Guards against jobs that no shard can run and that are moved to and fro, are
+// shown as ended, or keep others from being offered.
+TEST_CASE("a job that no shard can run stays until one can") {
+  Shards shards;
+  for (int i = 0; i < 2; ++i) shards.shard(i).AddWorker(i, Cores(8));
+  shards.Advance(milliseconds(100));
+  const int others = 200;
+  for (int i = 0; i < others; ++i)
+    shards.SubmitWhole(0, "a" + std::to_string(i), SpecOf({StepOf(1, 9)}));
+  const JobSpec spec = SpecOf({LabelledStep(1, 1, "b")});
+  shards.SubmitJob(spec);
+  shards.Advance(seconds(6));
+  CHECK(shards.move_count() == 0);
+  CHECK(shards.State() == JobState::kQueued);
+  CHECK(shards.shard(0).dispatcher().CountWaiting(QueueId("q")) == others + 1);
+  shards.shard(1).AddWorker(5, Cores(8), "b");
+  shards.Advance(seconds(6));
+  shards.CheckCompletedOnce(spec);
+  CHECK(shards.shard(0).dispatcher().CountWaiting(QueueId("q")) == others);
+}
+
+// Guards against load that moves between shards because one of them is full for
+// a while.
+TEST_CASE("a job that waits for the end of other work stays in its shard") {
+  Shards shards;
+  for (int i = 0; i < 2; ++i) shards.shard(i).AddWorker(i, Cores(4));
+  shards.Advance(milliseconds(100));
+  shards.shard(0).run_of = [](const TaskName&, int) {
+    return std::pair{Duration(seconds(5)), RunOutcome::kDone};
+  };
+  shards.SubmitWhole(0, "first", SpecOf({StepOf(1, 4)}));
+  shards.Advance(milliseconds(100));
+  const JobSpec spec = SpecOf({StepOf(1, 4)});
+  shards.SubmitJob(spec);
+  shards.Advance(seconds(11));
+  CHECK(shards.move_count() == 0);
+  shards.CheckCompletedOnce(spec);
+}
+
+/// A job whose only step runs in shard 1, and a leader that is replaced.
+struct MovedJobShards : Shards {
+  MovedJobShards() {
+    shard(0).AddWorker(0, Cores(8));
+    shard(1).AddWorker(2, Cores(8), "b");
+    Advance(milliseconds(100));
+    SubmitJob(spec);
+  }
+
+  /// Gives the job to shard 1. The move is not stored yet.
+  void GiveJob() {
+    offers_jobs = false;
+    Advance(milliseconds(1500));
+    const Epoch epoch = shard(1).dispatcher().epoch();
+    REQUIRE(shard(0).dispatcher().MoveJob(kJob, ShardId(1), epoch, now()));
+  }
+
+  JobSpec spec = SpecOf({LabelledStep(2, 1, "b")});
+};
+
+// Guards against a job that both shards run, or neither, because its move was
+// lost with the leader.
+TEST_CASE("a move that was not stored leaves the job in its shard") {
+  MovedJobShards shards;
+  shards.GiveJob();
+  shards.shard(0).store_available = false;
+  shards.shard(0).AddWorker(5, Cores(8), "b");
+  shards.Advance(milliseconds(500));
+  CHECK(shards.StartsOf(TaskAt(0)) == 0);
+  CHECK(shards.shard(0).dispatcher().IsMoving(kJob));
+  CHECK_FALSE(shards.CancelWhole(kJob));
+  shards.TakeOver(0);
+  shards.shard(0).store_available = true;
+  shards.Advance(seconds(8));
+  CHECK(shards.shard(0).starts[TaskAt(0)] == 1);
+  CHECK(shards.move_count() == 0);
+  shards.CheckCompletedOnce(shards.spec);
+}
+
+// Guards against a successor that runs a job which its predecessor gave away,
+// or that answers that there is no such job.
+TEST_CASE("a successor knows that a job was given away") {
+  MovedJobShards shards;
+  shards.SetReadsChanges(1, false);
+  shards.GiveJob();
+  shards.shard(0).StoreRecords();
+  shards.TakeOver(0);
+  shards.shard(0).AddWorker(5, Cores(8), "b");
+  shards.Advance(seconds(8));
+  CHECK(shards.StartsOf(TaskAt(0)) == 0);
+  CHECK(shards.StateOf(kJob).known);
+  // The job is still in the table that the leader reads for unreported jobs.
+  shards.shard(0).dispatcher().Submit(
+      shards.shard(0).Record(kJob.str(), shards.spec), shards.now(),
+      shards.shard(0).WallNow());
+  shards.Advance(seconds(1));
+  CHECK(shards.StartsOf(TaskAt(0)) == 0);
+  SECTION("read by the other leader") { shards.SetReadsChanges(1, true); }
+  SECTION("read by a successor of the other leader") {
+    shards.TakeOver(1);
+    shards.SetReadsChanges(1, true);
+  }
+  shards.Advance(seconds(8));
+  CHECK(shards.shard(0).starts[TaskAt(0)] == 0);
+  shards.CheckCompletedOnce(shards.spec);
+}
+
+// Guards against a job that runs again, or whose end is lost, because the
+// leader that stores its end is replaced.
+TEST_CASE("the end of a moved job is stored once by its home shard") {
+  MovedJobShards shards;
+  shards.SetReadsChanges(0, false);
+  shards.Advance(seconds(4));
+  REQUIRE(shards.StartsOf(TaskAt(0)) == 1);
+  // Only the shard that ran the job knows of the end.
+  CHECK_FALSE(shards.shard(0).HasStoredEnd(kJob));
+  CHECK(shards.State() == JobState::kCompleted);
+  SECTION("after a takeover there") { shards.TakeOver(1); }
+  SECTION("after a takeover at home") { shards.TakeOver(0); }
+  SECTION("after takeovers of both") {
+    shards.TakeOver(1);
+    shards.TakeOver(0);
+    shards.TakeOver(1);
+  }
+  SECTION("while the home shard cannot store it") {
+    shards.shard(0).store_available = false;
+    shards.SetReadsChanges(0, true);
+    shards.Advance(seconds(1));
+    CHECK_FALSE(shards.shard(0).HasStoredEnd(kJob));
+    shards.TakeOver(0);
+    shards.shard(0).store_available = true;
+  }
+  shards.SetReadsChanges(0, true);
+  shards.Advance(seconds(8));
+  shards.CheckCompletedOnce(shards.spec);
+  for (const int index : {0, 1, 0}) shards.TakeOver(index);
+  shards.Advance(seconds(8));
+  shards.CheckCompletedOnce(shards.spec);
+}
+
+// Guards against a job whose end is ignored, or a row that stays for ever,
+// because another shard has read a row and gone on before its storage was
+// answered.
+TEST_CASE("a move may be read before its storage is answered") {
+  MovedJobShards shards;
+  const int slow = GENERATE(0, 1);
+  shards.shard(slow).record_answer_delay = [] { return Duration(seconds(1)); };
+  shards.Advance(seconds(8));
+  shards.CheckCompletedOnce(shards.spec);
+}
+
+// Guards against a move that is read late or again and starts a job that has
+// ended or has moved on.
+TEST_CASE("a move that is read again changes nothing") {
+  MovedJobShards shards;
+  shards.Advance(seconds(4));
+  shards.CheckCompletedOnce(shards.spec);
+  for (std::size_t i = 0; i < shards.change_count(); ++i) {
+    for (int index = 0; index < 2; ++index) shards.ReadAgain(index, i);
+  }
+  shards.Advance(seconds(4));
+  shards.CheckCompletedOnce(shards.spec);
+}
+
+// Guards against a row that the store never takes and that keeps the job, or
+// other rows, from being stored.
+TEST_CASE("a job whose move is rejected by the store stays in its shard") {
+  MovedJobShards shards;
+  shards.shard(0).rejects = [](const RecordBatch& batch) {
+    return !batch.moves.empty();
+  };
+  shards.Advance(seconds(4));
+  CHECK(shards.StartsOf(TaskAt(0)) == 0);
+  CHECK(shards.State() == JobState::kQueued);
+  shards.shard(0).AddWorker(5, Cores(8), "b");
+  shards.Advance(seconds(2));
+  shards.CheckCompletedOnce(shards.spec);
+}
+
+// Guards against progress that does not fit in a row.
+TEST_CASE("a job with more state than a row holds is not moved") {
+  Shards shards;
+  shards.shard(0).AddWorker(0, Cores(8));
+  shards.shard(1).AddWorker(2, Cores(8), "b");
+  shards.Advance(milliseconds(100));
+  std::vector<StepSpec> steps(64, LabelledStep(1, 1, std::string(1000, 'b')));
+  shards.SubmitJob(SpecOf(steps));
+  shards.offers_jobs = false;
+  shards.Advance(seconds(2));
+  Dispatcher& giver = shards.shard(0).dispatcher();
+  CHECK_FALSE(giver.MoveJob(kJob, ShardId(1), Epoch(1), shards.now()));
+  CHECK_FALSE(giver.IsMoving(kJob));
+  CHECK(giver.JobsToMove(ShardId(1), shards.now(), 10).empty());
+  CHECK(shards.State() == JobState::kQueued);
+}
+
+// Time within which each job ends after the last fault: leases expire 6.3 s
+// after a takeover, and a job whose next step waits for another shard moves
+// within 2 s, once for each of its steps.
+constexpr Duration kRecoveryTime = seconds(30);
+constexpr Duration kFaultTime = seconds(30);
+
+/// What happened in a simulation.
+struct InterleavingReport {
+  int faults = 0;
+  int takeovers = 0;
+  int moves = 0;
+  std::vector<std::string> violations;
+};
+
+/// Random faults in two or three shards, each of which has workers with a label
+/// of its own. The steps of the jobs require these labels.
+class Interleaving {
+ public:
+  explicit Interleaving(std::uint64_t seed)
+      : random_(seed), shards_(static_cast<int>(2 + Below(2))) {
+    for (int i = 0; i < shards_.shard_count(); ++i) {
+      SimulatedCluster& cluster = shards_.shard(i);
+      for (int k = 0; k < 3; ++k)
+        cluster.AddWorker(k, Cores(6), "only" + std::to_string(i));
+      cluster.run_of = [this](const TaskName& task, int) {
+        ++runs_[task];
+        return std::pair{Duration(milliseconds(100 + Below(600))),
+                         RunOutcome::kDone};
+      };
+      cluster.record_answer_delay = [this] {
+        return Duration(milliseconds(OneIn(4) ? Below(1500) : Below(20)));
+      };
+      shards_.SetReadsChanges(i, false);
+    }
+    shards_.reply_delay = [this] { return Duration(milliseconds(Below(500))); };
+    shards_.Advance(milliseconds(100));
+  }
+
+  InterleavingReport Run() {
+    const Time faults_end = shards_.now() + kFaultTime;
+    while (shards_.now() < faults_end && !Failed()) {
+      AddFaults();
+      shards_.Advance(kSimulationStep);
+      CheckDone();
+    }
+    EndFaults();
+    const Time recovered = shards_.now() + kRecoveryTime;
+    while (shards_.now() < recovered && !Failed()) {
+      shards_.Advance(kSimulationStep);
+      CheckDone();
+    }
+    if (!Failed()) CheckAllJobsEnded();
+    report_.moves = shards_.move_count();
+    const std::vector<std::string> found = shards_.Violations();
+    report_.violations.insert(report_.violations.end(), found.begin(),
+                              found.end());
+    return report_;
+  }
+
+ private:
+  std::uint64_t Below(std::uint64_t bound) { return random_() % bound; }
+  bool OneIn(std::uint64_t count) { return Below(count) == 0; }
+  bool Failed() const {
+    return !report_.violations.empty() || !shards_.Violations().empty();
+  }
+
+  void AddFaults() {
+    if (OneIn(60)) SubmitJob();
+    if (OneIn(400)) CancelJob();
+    if (OneIn(150)) LoseWorker();
+    for (auto& [worker, heals_at] : lost_) {
+      if (shards_.now() >= heals_at) Heal(worker);
+    }
+    std::erase_if(lost_, [&](const auto& entry) {
+      return shards_.now() >= entry.second;
+    });
+    for (int i = 0; i < shards_.shard_count(); ++i) AddShardFaults(i);
+  }
+
+  void AddShardFaults(int index) {
+    SimulatedCluster& cluster = shards_.shard(index);
+    if (shards_.now() >= store_available_at_[index])
+      cluster.store_available = true;
+    if (OneIn(400)) {
+      cluster.store_available = false;
+      store_available_at_[index] = shards_.now() + milliseconds(Below(3000));
+    }
+    if (OneIn(15)) shards_.ReadChanges(index);
+    if (OneIn(10) && shards_.change_count() > 0)
+      shards_.ReadAgain(index, Below(shards_.change_count()));
+    if (!OneIn(700)) return;
+    ++report_.takeovers;
+    if (OneIn(2)) cluster.StoreRecords();
+    shards_.TakeOver(index);
+  }
+
+  void SubmitJob() {
+    const std::string id = "job" + std::to_string(specs_.size());
+    std::vector<StepSpec> steps;
+    const auto count = static_cast<int>(1 + Below(3));
+    for (int s = 0; s < count; ++s) {
+      const auto shard =
+          Below(static_cast<std::uint64_t>(shards_.shard_count()));
+      steps.push_back(LabelledStep(static_cast<int>(1 + Below(3)), 1,
+                                   "only" + std::to_string(shard)));
+      steps.back().gang = OneIn(4);
+      if (s > 0 && !OneIn(4)) steps.back().after = {s - 1};
+    }
+    specs_[JobId(id)] = SpecOf(std::move(steps));
+    shards_.SubmitWhole(static_cast<int>(Below(
+                            static_cast<std::uint64_t>(shards_.shard_count()))),
+                        id, specs_[JobId(id)], 100);
+  }
+
+  void CancelJob() {
+    if (specs_.empty()) return;
+    auto job = specs_.begin();
+    std::advance(job, Below(specs_.size()));
+    if (shards_.CancelWhole(job->first)) cancelled_.insert(job->first);
+  }
+
+  void LoseWorker() {
+    ++report_.faults;
+    const std::pair<int, int> worker(
+        static_cast<int>(
+            Below(static_cast<std::uint64_t>(shards_.shard_count()))),
+        static_cast<int>(Below(3)));
+    if (lost_.contains(worker)) return;
+    lost_[worker] = shards_.now() + milliseconds(Below(12'000));
+    SimulatedCluster& cluster = shards_.shard(worker.first);
+    if (OneIn(2)) {
+      cluster.worker(worker.second).partitioned = true;
+    } else {
+      cluster.Crash(worker.second);
+    }
+  }
+
+  void Heal(const std::pair<int, int>& ref) {
+    SimulatedCluster& cluster = shards_.shard(ref.first);
+    SimulatedWorker& worker = cluster.worker(ref.second);
+    worker.partitioned = false;
+    if (!worker.alive) cluster.Restart(ref.second);
+    cluster.dispatcher().OnWorkerListed(worker.entry, shards_.now());
+  }
+
+  void EndFaults() {
+    for (const auto& [worker, heals_at] : lost_) Heal(worker);
+    lost_.clear();
+    for (int i = 0; i < shards_.shard_count(); ++i) {
+      shards_.shard(i).store_available = true;
+      shards_.SetReadsChanges(i, true);
+    }
+  }
+
+  /// Checks that no task of a job starts after the job was shown as completed.
+  void CheckDone() {
+    for (const auto& [id, spec] : specs_) {
+      const bool completed = shards_.StateOf(id).state == JobState::kCompleted;
+      const auto found = runs_when_completed_.find(id);
+      if (!completed) {
+        if (found != runs_when_completed_.end())
+          report_.violations.push_back(id.str() + " is no longer completed");
+        continue;
+      }
+      const int runs = RunsOf(id);
+      if (found == runs_when_completed_.end()) {
+        runs_when_completed_[id] = runs;
+      } else if (runs != found->second) {
+        report_.violations.push_back(id.str() + " runs after its end");
+      }
+    }
+  }
+
+  int RunsOf(const JobId& id) const {
+    int runs = 0;
+    for (auto task = runs_.lower_bound({.job = id});
+         task != runs_.end() && task->first.job == id; ++task)
+      runs += task->second;
+    return runs;
+  }
+
+  void CheckAllJobsEnded() {
+    for (const auto& [id, spec] : specs_) {
+      const JobState state = shards_.StateOf(id).state;
+      const bool cancelled = cancelled_.contains(id);
+      if (!IsFinal(state))
+        report_.violations.push_back(id.str() + " has not ended");
+      if (state == JobState::kCancelled && !cancelled)
+        report_.violations.push_back(id.str() + " is shown as cancelled");
+    }
+    if (!shards_.StoredMoves().empty())
+      report_.violations.emplace_back("rows of moves are left");
+  }
+
+  std::mt19937_64 random_;
+  SimulatedShards shards_;
+  std::map<JobId, JobSpec> specs_;
+  std::set<JobId> cancelled_;
+  std::map<TaskName, int> runs_;
+  std::map<JobId, int> runs_when_completed_;
+  std::map<std::pair<int, int>, Time> lost_;
+  std::map<int, Time> store_available_at_;
+  InterleavingReport report_;
+};
+
+void CheckSeeds(std::uint64_t seeds) {
+  InterleavingReport total;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    const InterleavingReport report = Interleaving(seed).Run();
+    total.faults += report.faults;
+    total.takeovers += report.takeovers;
+    total.moves += report.moves;
+    for (const std::string& violation : report.violations)
+      FAIL_CHECK("seed " << seed << ": " << violation);
+  }
+  WARN(seeds << " seeds, " << total.faults << " faults, " << total.takeovers
+             << " takeovers, " << total.moves << " moves");
+  // Guards against a simulation without faults, takeovers or moves.
+  const int count = static_cast<int>(seeds);
+  CHECK(total.faults > 5 * count);
+  CHECK(total.takeovers > 2 * count);
+  CHECK(total.moves > 5 * count);
+}
+
+// Guards against a sequence of faults after which a job runs twice, ends twice
+// or never ends.
+TEST_CASE("moves of jobs keep the invariants under random faults") {
+  CheckSeeds(10);
+}
+
+// The same check with more seeds, run before a release.
+TEST_CASE("moves of jobs keep the invariants for many seeds", "[.long]") {
+  CheckSeeds(100);
+}
+
 }  // namespace
 }  // namespace gypsumfall
--- a/gypsumfall/dispatch/job_table.cc
+++ b/gypsumfall/dispatch/job_table.cc
@@ -210,11 +210,34 @@
     if (step_tasks[i].phase == TaskPhase::kDone) continue;
     Task& task = step_tasks.Edit(i);
     for (const std::uint64_t run : failures.runs) task.CountFailure(run);
-    task.forgotten_failures += failures.forgotten;
+    // The numbers may come from an earlier record of the same task, too.
+    task.forgotten_failures =
+        std::max(task.forgotten_failures, failures.forgotten);
   }
   CountStepsDone(*job, number);
 }
 
+void JobTable::RestoreMoved(const JobMove& move) {
+  Job* job = Find(move.record.id);
+  if (job == nullptr) return;
+  Restore(move.progress);
+  for (const ChunkProgress& chunk : move.chunks) {
+    Restore(chunk);
+    // The row is stored by the other shard.
+    const auto open = job->occurrences.find(chunk.row.occurrence);
+    if (open == job->occurrences.end()) continue;
+    for (ProgressRow& row : open->second.chunks) row.stored = false;
+  }
+  for (const TaskCheckpoint& saved : move.checkpoints) {
+    if (!job->HasTask(saved.task) || job->IsCompleted(saved.task.occurrence))
+      continue;
+    job->Open(saved.task.occurrence);
+    if (Task* task = EditTask(saved.task)) task->checkpoint = saved.checkpoint;
+  }
+  job->row.stored = false;
+  job->started = move.started;
+}
+
 void JobTable::AddEnded(const JobProgress& progress) {
   auto& job = jobs_[progress.id];
   job = std::make_unique<Job>();
@@ -289,7 +312,7 @@
   std::vector<JobId> expired;
   for (const auto& [id, job] : jobs_) {
     if (expired.size() >= limit) break;
-    if (IsFinal(job->visible_state) && !job->expired &&
+    if (IsFinal(job->visible_state) && !job->expired && !job->other_home &&
         job->ended_at < ended_before) {
       expired.push_back(id);
     }
--- a/gypsumfall/dispatch/transfers_test.cc
+++ b/gypsumfall/dispatch/transfers_test.cc
@@ -463,9 +463,9 @@
   void SubmitShortJob() {
     const std::string id = "short" + std::to_string(next_short_job_++);
     specs_[JobId(id)] = Tasks(static_cast<int>(1 + Below(3)), 1, false);
-    SimulatedCluster& cluster = shards_.shard(static_cast<int>(
-        Below(static_cast<std::uint64_t>(shards_.shard_count()))));
-    cluster.Submit(cluster.Record(id, specs_[JobId(id)], 100));
+    const int home = static_cast<int>(
+        Below(static_cast<std::uint64_t>(shards_.shard_count())));
+    shards_.SubmitWhole(home, id, specs_[JobId(id)], 100);
   }
 
   void EndFaults() {
--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -2,6 +2,7 @@
 #define GYPSUMFALL_JOBS_INTERNAL_JOB_RECORD_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -127,6 +128,37 @@
   Checkpoint checkpoint;
 };
 
+/// Checkpoint of a task that waits for its next run.
+struct TaskCheckpoint {
+  TaskName task;
+  Checkpoint checkpoint;
+};
+
+/// Moves a job that is not sliced to another shard, with all its progress. The
+/// shard that gives the job away stores it. A job that ends away from its home
+/// shard is moved back there in its final state.
+struct JobMove {
+  /// The job. Its epoch of acceptance is one of the shard that runs the job
+  /// from now on. Without steps if the job has ended.
+  JobRecord record;
+  /// Shard to which the id of the job belongs.
+  ShardId home;
+  /// Shard that has given the job away.
+  ShardId from;
+  /// Shard that runs the job from now on, or stores its final state.
+  ShardId to;
+  /// Number of moves of the job, this one included. The move with the highest
+  /// number decides which shard runs the job.
+  std::uint64_t number = 0;
+  /// Highest run number that was used or may have been used before.
+  RunNumber last_run;
+  /// A worker has started a task of the job.
+  bool started = false;
+  JobProgress progress;
+  std::vector<ChunkProgress> chunks;
+  std::vector<TaskCheckpoint> checkpoints;
+};
+
 /// A worker that may hold a lease. Stored in a row of its own, so that a
 /// successor waits until the lease expires.
 struct RosterEntry {
@@ -175,6 +207,8 @@
 struct JobStateReply {
   bool known = false;
   JobState state = JobState::kQueued;
+  /// Shard to which the job was moved, and which knows its present state.
+  std::optional<ShardId> moved_to = {};
 };
 
 /// Reply to a query for the length of a queue.
@@ -200,6 +234,25 @@
   std::vector<TaskName> reserved;
 };
 
+/// A job that waits in a shard, and the step for which it finds no worker
+/// there.
+struct JobOffer {
+  JobId job;
+  JobTerms terms;
+  StepSpec step;
+};
+
+/// Asks the leader of a shard which of the jobs its workers could run.
+struct OfferJobsRequest {
+  std::vector<JobOffer> offers;
+};
+
+/// The jobs that the shard can take, and the epoch of its leader.
+struct OfferJobsReply {
+  Epoch epoch;
+  std::vector<JobId> wanted;
+};
+
 /// Asks the scheduling host for the state of a job.
 struct JobQuery {
   JobId id;
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -43,6 +43,30 @@
   }
 }
 
+// Visits a shard that may be unset.
+template <typename Visitor, typename T>
+void NullableShardField(Visitor& visit, std::string_view name, T& shard) {
+  constexpr std::int64_t kUnset = -1;
+  std::int64_t number =
+      shard ? static_cast<std::int64_t>(shard->value()) : kUnset;
+  if constexpr (std::is_same_v<Visitor, protocol_internal::JsonWriter>) {
+    if (shard) visit(name, number);
+  } else {
+    visit.WithDefault(name, number);
+    if (number != kUnset) shard = ShardId(static_cast<std::uint64_t>(number));
+  }
+}
+
+// Visits a list, which is omitted from rows while it is empty.
+template <typename Visitor, typename T>
+void ListField(Visitor& visit, std::string_view name, T& list) {
+  if constexpr (std::is_same_v<Visitor, protocol_internal::JsonWriter>) {
+    if (!list.empty()) visit(name, list);
+  } else {
+    visit.WithDefault(name, list);
+  }
+}
+
 // Visits a duration, encoded in whole milliseconds.
 template <typename Visitor, typename T>
 void MillisecondsField(Visitor& visit, std::string_view name, T& value) {
@@ -121,11 +145,7 @@
   visit("occurrence", progress.row.occurrence);
   OptionalField(visit, "chunk", progress.row.chunk);
   OptionalField(visit, "done", progress.done);
-  if constexpr (std::is_same_v<Visitor, protocol_internal::JsonWriter>) {
-    if (!progress.failures.empty()) visit("failures", progress.failures);
-  } else {
-    visit.WithDefault("failures", progress.failures);
-  }
+  ListField(visit, "failures", progress.failures);
 }
 
 template <typename Visitor>
@@ -134,11 +154,7 @@
   visit("queue", progress.queue);
   visit("state", progress.state);
   MillisecondsField(visit, "ended_at_ms", progress.ended_at);
-  if constexpr (std::is_same_v<Visitor, protocol_internal::JsonWriter>) {
-    if (!progress.steps.empty()) visit("steps", progress.steps);
-  } else {
-    visit.WithDefault("steps", progress.steps);
-  }
+  ListField(visit, "steps", progress.steps);
   OptionalField(visit, "completed", progress.completed);
   OptionalField(visit, "never_accepted", progress.never_accepted);
 }
@@ -160,6 +176,44 @@
   OptionalField(visit, "checkpoint", transfer.checkpoint);
 }
 
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<TaskCheckpoint> auto& saved) {
+  visit("task", saved.task);
+  visit("checkpoint", saved.checkpoint);
+}
+
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<JobMove> auto& move) {
+  visit("record", move.record);
+  visit("home", move.home);
+  visit("from", move.from);
+  visit("to", move.to);
+  visit("number", move.number);
+  visit("last_run", move.last_run);
+  OptionalField(visit, "started", move.started);
+  visit("progress", move.progress);
+  ListField(visit, "chunks", move.chunks);
+  ListField(visit, "checkpoints", move.checkpoints);
+}
+
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<JobOffer> auto& offer) {
+  visit("job", offer.job);
+  visit("terms", offer.terms);
+  visit("step", offer.step);
+}
+
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<OfferJobsRequest> auto& request) {
+  visit("offers", request.offers);
+}
+
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<OfferJobsReply> auto& reply) {
+  visit("epoch", reply.epoch);
+  visit("wanted", reply.wanted);
+}
+
 template <typename Visitor>
 void Fields(Visitor& visit, MaybeConst<ReservePlacesRequest> auto& request) {
   visit("tasks", request.tasks);
@@ -209,6 +263,7 @@
 void Fields(Visitor& visit, MaybeConst<JobStateReply> auto& reply) {
   visit("known", reply.known);
   visit("state", reply.state);
+  NullableShardField(visit, "moved_to", reply.moved_to);
 }
 
 template <typename Visitor>
@@ -236,6 +291,9 @@
 template std::string Encode(const JobProgress&);
 template std::string Encode(const ChunkProgress&);
 template std::string Encode(const TaskTransfer&);
+template std::string Encode(const JobMove&);
+template std::string Encode(const OfferJobsRequest&);
+template std::string Encode(const OfferJobsReply&);
 template std::string Encode(const ReservePlacesRequest&);
 template std::string Encode(const ReservePlacesReply&);
 template std::string Encode(const Roster&);
@@ -250,6 +308,9 @@
 template Result<JobProgress> Decode(std::string_view);
 template Result<ChunkProgress> Decode(std::string_view);
 template Result<TaskTransfer> Decode(std::string_view);
+template Result<JobMove> Decode(std::string_view);
+template Result<OfferJobsRequest> Decode(std::string_view);
+template Result<OfferJobsReply> Decode(std::string_view);
 template Result<ReservePlacesRequest> Decode(std::string_view);
 template Result<ReservePlacesReply> Decode(std::string_view);
 template Result<Roster> Decode(std::string_view);
--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -236,17 +236,32 @@
 }
 
 void CallerService::QueryState(const std::shared_ptr<Exchange>& exchange) {
-  peers_->QueryState(*exchange->shard, exchange->request.job, kPeerTimeout,
-                     [this, exchange](const Result<JobStateReply>& reply) {
-                       if (reply && reply->known) {
-                         Answer(*exchange, {.kind = CallerAnswer::Kind::kState,
-                                            .state = reply->state});
-                         return;
-                       }
-                       // The job may be stored and not yet reported to the
-                       // scheduler.
-                       ReadState(exchange);
-                     });
+  QueryStateAt(*exchange->shard, 0, exchange);
+}
+
+Shard* CallerService::NextShard(const Result<JobStateReply>& reply,
+                                std::size_t hops) const {
+  if (!reply || !reply->moved_to || hops >= shards_->shards().size())
+    return nullptr;
+  return shards_->FindShard(*reply->moved_to);
+}
+
+void CallerService::QueryStateAt(Shard& shard, std::size_t hops,
+                                 const std::shared_ptr<Exchange>& exchange) {
+  peers_->QueryState(
+      shard, exchange->request.job, kPeerTimeout,
+      [this, hops, exchange](const Result<JobStateReply>& reply) {
+        if (Shard* next = NextShard(reply, hops)) {
+          QueryStateAt(*next, hops + 1, exchange);
+        } else if (reply && reply->known) {
+          Answer(*exchange,
+                 {.kind = CallerAnswer::Kind::kState, .state = reply->state});
+        } else {
+          // The job may be stored and not yet reported to the
+          // scheduler.
+          ReadState(exchange);
+        }
+      });
 }
 
 void CallerService::ReadState(const std::shared_ptr<Exchange>& exchange) {
@@ -280,9 +295,18 @@
 }
 
 void CallerService::CancelJob(const std::shared_ptr<Exchange>& exchange) {
-  peers_->Cancel(*exchange->shard, exchange->request.job, kPeerTimeout,
-                 [this, exchange](const Result<JobStateReply>& reply) {
-                   OnCancelReply(exchange, reply);
+  CancelJobAt(*exchange->shard, 0, exchange);
+}
+
+void CallerService::CancelJobAt(Shard& shard, std::size_t hops,
+                                const std::shared_ptr<Exchange>& exchange) {
+  peers_->Cancel(shard, exchange->request.job, kPeerTimeout,
+                 [this, hops, exchange](const Result<JobStateReply>& reply) {
+                   if (Shard* next = NextShard(reply, hops)) {
+                     CancelJobAt(*next, hops + 1, exchange);
+                   } else {
+                     OnCancelReply(exchange, reply);
+                   }
                  });
 }
 
@@ -297,7 +321,7 @@
     }
     return;
   }
-  if (reply->known) {
+  if (reply->known && !reply->moved_to) {
     Answer(*exchange, {.kind = CallerAnswer::Kind::kCancelled});
     return;
   }
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -54,6 +54,7 @@
       record_batches_(context.metrics.AddCounter("record_batches_stored")),
       rejected_batches_(context.metrics.AddCounter("record_batches_rejected")),
       transfers_(context.metrics.AddCounter("tasks_transferred")),
+      moves_(context.metrics.AddCounter("jobs_moved")),
       store_latency_(context.metrics.AddLatency("record_store_seconds")),
       takeover_time_(context.metrics.AddLatency("takeover_seconds")),
       free_cpu_(context.metrics.AddGauge("shard_free_millicores",
@@ -158,6 +159,7 @@
     ended.insert(ended_job.id);
     dispatcher_->RestoreEnded(ended_job);
   }
+  dispatcher_->RestoreMoves(loaded->moves, now, wall_now);
   for (JobRecord& job : loaded->jobs) {
     if (ended.contains(job.id)) {
       jobs_to_empty_.push_back(job.id);
@@ -199,6 +201,7 @@
              {"jobs", loaded->jobs.size()},
              {"sliced_jobs", loaded->sliced_jobs.size()},
              {"transfers", loaded->own_transfers.size()},
+             {"moves", loaded->moves.size()},
              {"ended_jobs", loaded->ended.size()},
              {"workers_with_leases", loaded->roster.size()},
              {"load_ms", (now - leader_since_).count() / 1000}});
@@ -275,7 +278,8 @@
   }
   for (const JobId& id : dispatcher_->OnRecorded(batch)) {
     auto [first, last] = pending_cancels_.equal_range(id);
-    for (auto cancel = first; cancel != last; ++cancel) cancel->second(true);
+    for (auto cancel = first; cancel != last; ++cancel)
+      cancel->second(JobStateReply{true, JobState::kCancelled});
     pending_cancels_.erase(first, last);
   }
   RunCycleSoon();
@@ -295,16 +299,20 @@
 }
 
 void DispatchService::Cancel(const JobId& id,
-                             UniqueFunction<Result<bool>> done) {
+                             UniqueFunction<Result<JobStateReply>> done) {
   if (dispatcher_->RunsSliceOf(id)) {
     CancelSliced(id, std::move(done));
     return;
   }
-  const bool known =
-      dispatcher_->Cancel(id, context_.Now(), context_.WallNow());
+  if (dispatcher_->IsMoving(id)) {
+    done(Fail(ErrorKind::kOwnerUnavailable,
+              "the job is being moved to another shard"));
+    return;
+  }
+  const bool held = dispatcher_->Cancel(id, context_.Now(), context_.WallNow());
   const JobStateReply state = dispatcher_->StateOf(id);
-  if (!known || IsFinal(state.state)) {
-    done(known);
+  if (!held || IsFinal(state.state)) {
+    done(JobStateReply{state.known, JobState::kCancelled, state.moved_to});
     return;
   }
   pending_cancels_.emplace(id, std::move(done));
--- a/gypsumfall/scheduler/dispatch_service_jobs.cc
+++ b/gypsumfall/scheduler/dispatch_service_jobs.cc
@@ -118,12 +118,15 @@
   for (const StoredRow& row : page.rows) ApplySlicedJobChange(row);
 }
 
-// Reads all sliced jobs. Those that are missing were cancelled.
+// Reads all sliced jobs and all moves. Sliced jobs that are missing were
+// cancelled, and moves that are missing in the home shard of their job were
+// removed.
 void DispatchService::ReloadSlicedJobs() {
   sliced_read_pending_ = true;
   LoadSlicedJobRows(
       context_, layout_.layout()->shard_count, kJobScanTimeout,
-      [this, generation = generation_](const LoadedRows& loaded) {
+      [this, generation = generation_,
+       moved_before = dispatcher_->MovedJobs()](const LoadedRows& loaded) {
         if (generation != generation_) return;
         sliced_read_pending_ = false;
         if (loaded.outcome != StoreOutcome::kDone) {
@@ -132,11 +135,20 @@
         }
         sliced_version_ = loaded.version;
         std::set<JobId> stored;
+        std::set<JobId> stored_moves;
         for (const StoredRow& row : loaded.rows) {
-          if (!IsTransferRow(row.address))
-            stored.insert(JobId(row.address.key));
+          const JobId id(row.address.key);
+          if (IsHomeMove(row.address)) {
+            stored_moves.insert(id);
+          } else if (!IsMoveRow(row.address) && !IsTransferRow(row.address)) {
+            stored.insert(id);
+          }
           ApplySlicedJobChange(row);
         }
+        for (const JobId& id : moved_before) {
+          if (!stored_moves.contains(id))
+            dispatcher_->OnHomeMoveRemoved(id, context_.Now());
+        }
         for (const JobId& id : dispatcher_->RunningSlices()) {
           if (stored.contains(id)) continue;
           dispatcher_->Cancel(id, context_.Now(), context_.WallNow());
@@ -146,7 +158,9 @@
 }
 
 void DispatchService::ApplySlicedJobChange(const StoredRow& row) {
-  if (IsTransferRow(row.address)) {
+  if (IsMoveRow(row.address)) {
+    ApplyMove(row);
+  } else if (IsTransferRow(row.address)) {
     ApplyTransfer(row);
   } else {
     ApplySlicedJob(row);
@@ -166,6 +180,27 @@
   RunCycleSoon();
 }
 
+bool DispatchService::IsHomeMove(const RowAddress& address) const {
+  const ShardId home = ShardOf(*layout_.layout(), JobId(address.key));
+  return IsMoveRow(address) && address.partition == ShardScope(home).partition;
+}
+
+void DispatchService::ApplyMove(const StoredRow& row) {
+  if (row.removed) {
+    if (IsHomeMove(row.address))
+      dispatcher_->OnHomeMoveRemoved(JobId(row.address.key), context_.Now());
+    return;
+  }
+  const Result<JobMove> move = Decode<JobMove>(row.value);
+  if (!move) {
+    log_.Error("cannot decode a stored move",
+               {{"key", row.address.key}, {"why", move.error().detail}});
+    return;
+  }
+  dispatcher_->ApplyMove(*move, context_.Now(), context_.WallNow());
+  RunCycleSoon();
+}
+
 std::vector<TaskName> DispatchService::TasksToTransfer(ShardId other,
                                                        std::size_t limit) {
   return dispatcher_->TasksToTransfer(other, context_.Now(), limit);
@@ -190,6 +225,29 @@
   RunCycleSoon();
 }
 
+std::vector<JobOffer> DispatchService::JobsToMove(ShardId other,
+                                                  std::size_t limit) {
+  return dispatcher_->JobsToMove(other, context_.Now(), limit);
+}
+
+OfferJobsReply DispatchService::ChooseOffered(const OfferJobsRequest& request) {
+  OfferJobsReply reply{.epoch = dispatcher_->epoch(), .wanted = {}};
+  for (const JobOffer& offer : request.offers) {
+    if (dispatcher_->WantsJob(offer, context_.Now()))
+      reply.wanted.push_back(offer.job);
+  }
+  return reply;
+}
+
+void DispatchService::MoveJobs(const OfferJobsReply& reply, ShardId shard) {
+  if (!is_scheduling()) return;
+  for (const JobId& id : reply.wanted) {
+    if (dispatcher_->MoveJob(id, shard, reply.epoch, context_.Now()))
+      moves_.Add();
+  }
+  RunCycleSoon();
+}
+
 void DispatchService::ApplySlicedJob(const StoredRow& row) {
   const JobId id(row.address.key);
   if (row.removed) {
@@ -211,7 +269,7 @@
 
 // The leaders of the other shards read the cancellation from the store.
 void DispatchService::CancelSliced(const JobId& id,
-                                   UniqueFunction<Result<bool>> done) {
+                                   UniqueFunction<Result<JobStateReply>> done) {
   context_.ports.store.transact(
       CancelSlicedTransaction({.id = id,
                                .queue = dispatcher_->QueueOf(id),
@@ -230,7 +288,7 @@
           dispatcher_->Cancel(id, context_.Now(), context_.WallNow());
           RunCycleSoon();
         }
-        done(true);
+        done(JobStateReply{true, JobState::kCancelled});
       });
 }
 
--- a/gypsumfall/scheduler/internal/caller_service.h
+++ b/gypsumfall/scheduler/internal/caller_service.h
@@ -42,6 +42,10 @@
   /// Answers a request whose job is stored already, or was cancelled.
   void OnJobConflict(Exchange& exchange, const std::vector<StoredRow>& current);
   void QueryState(const std::shared_ptr<Exchange>& exchange);
+  /// Asks the leader of a shard for the state of the request's job.
+  /// @param hops number of shards that have named another one.
+  void QueryStateAt(Shard& shard, std::size_t hops,
+                    const std::shared_ptr<Exchange>& exchange);
   void ReadState(const std::shared_ptr<Exchange>& exchange);
   /// Reads the stored state of the request's job.
   /// @param done called with the state, or with an error if the store does not
@@ -49,6 +53,11 @@
   void LoadState(const std::shared_ptr<Exchange>& exchange,
                  UniqueFunction<Result<JobStateReply>> done);
   void CancelJob(const std::shared_ptr<Exchange>& exchange);
+  void CancelJobAt(Shard& shard, std::size_t hops,
+                   const std::shared_ptr<Exchange>& exchange);
+  /// @return the shard that the reply names, unless the calls have gone from
+  ///   shard to shard for too long; otherwise null.
+  Shard* NextShard(const Result<JobStateReply>& reply, std::size_t hops) const;
   void OnCancelReply(const std::shared_ptr<Exchange>& exchange,
                      const Result<JobStateReply>& reply);
   void RejectLateAcceptance(const std::shared_ptr<Exchange>& exchange);
--- a/gypsumfall/scheduler/internal/context.h
+++ b/gypsumfall/scheduler/internal/context.h
@@ -36,9 +36,10 @@
 inline constexpr const char* kEndedTable = "ended";
 // Jobs of which each shard runs a slice, and those of them that were cancelled.
 // The jobs of both tables are in one partition, so that a job changes tables
-// atomically. The first table also holds the transfers of their tasks, so that
-// one read of changes returns both in order. A transfer is in the partition of
-// the shard that stored it, `ShardScope::partition`.
+// atomically. The first table also holds the transfers of their tasks, and the
+// moves of other jobs, so that one read of changes returns all of them in
+// order. A transfer or move is in the partition of the shard that stored it,
+// `ShardScope::partition`.
 inline constexpr const char* kSlicedJobTable = "sliced-jobs";
 inline constexpr const char* kCancelledSlicedJobTable = "sliced-jobs-cancelled";
 inline constexpr const char* kSlicedJobPartition = "sliced-jobs";
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -43,10 +43,11 @@
   JobStateReply StateOf(const JobId& id) const;
   std::uint64_t CountWaiting(const QueueId& queue) const;
   /// Cancels a job.
-  /// @param done called with whether the job is known, after the cancellation
-  ///   is stored, or with an error if it is not known to be stored; discarded
-  ///   if leadership is lost before.
-  void Cancel(const JobId& id, UniqueFunction<Result<bool>> done);
+  /// @param done called with whether the job is known, and the shard that holds
+  ///   it if that is another one, after the cancellation is stored; or with an
+  ///   error if it is not known to be stored; discarded if leadership is lost
+  ///   before.
+  void Cancel(const JobId& id, UniqueFunction<Result<JobStateReply>> done);
 
   /// @param other shard that is offered the tasks.
   /// @return at most `limit` tasks that another shard should run, because they
@@ -57,6 +58,14 @@
   ReservePlacesReply ReservePlaces(const ReservePlacesRequest& request);
   /// Gives tasks to a shard that has reserved workers for them.
   void TransferTasks(const std::vector<TaskName>& tasks, ShardId shard);
+  /// @param other shard that is offered the jobs.
+  /// @return at most `limit` jobs that no worker of this shard could run. Must
+  ///   be called only while scheduling, like `ChooseOffered`.
+  std::vector<JobOffer> JobsToMove(ShardId other, std::size_t limit);
+  /// Chooses the offered jobs that workers of this shard could run.
+  OfferJobsReply ChooseOffered(const OfferJobsRequest& request);
+  /// Gives jobs to a shard that wants them.
+  void MoveJobs(const OfferJobsReply& reply, ShardId shard);
 
  private:
   void StartScheduling();
@@ -75,13 +84,17 @@
   void ScanJobChanges();
   void ReloadJobs(Time scan_started);
   void SubmitUnreportedJobs(const std::vector<StoredRow>& rows);
-  void CancelSliced(const JobId& id, UniqueFunction<Result<bool>> done);
+  void CancelSliced(const JobId& id,
+                    UniqueFunction<Result<JobStateReply>> done);
   void ReadSlicedJobChanges();
   void OnSlicedJobChanges(const RowPage& page);
   void ReloadSlicedJobs();
   void ApplySlicedJobChange(const StoredRow& row);
   void ApplySlicedJob(const StoredRow& row);
   void ApplyTransfer(const StoredRow& row);
+  void ApplyMove(const StoredRow& row);
+  /// @return whether the row is the move that the job's home shard has stored.
+  bool IsHomeMove(const RowAddress& address) const;
   void RemoveExpiredSlicedJobs();
   void CleanUpRecords();
   /// @param removed called with the jobs whose rows are removed, if this host
@@ -120,7 +133,7 @@
   /// Jobs that were cancelled before they were accepted, and when.
   std::map<JobId, WallTime> never_accepted_;
   Time next_cleanup_{};
-  std::multimap<JobId, UniqueFunction<Result<bool>>> pending_cancels_;
+  std::multimap<JobId, UniqueFunction<Result<JobStateReply>>> pending_cancels_;
 
   Counter& starts_;
   Counter& refused_starts_;
@@ -128,6 +141,7 @@
   Counter& record_batches_;
   Counter& rejected_batches_;
   Counter& transfers_;
+  Counter& moves_;
   LatencyHistogram& store_latency_;
   LatencyHistogram& takeover_time_;
   /// The shard's status, while this host is its leader.
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -364,6 +364,18 @@
   std::map<WorkerId, WorkerRuns> runs_by_worker_;
 };
 
+/// @return the rack to whose workers a job is limited by a label: what follows
+///   "-on-" in its id; empty if there is none.
+inline std::string RackOf(const JobId& job) {
+  const std::size_t found = job.str().find("-on-");
+  return found == std::string::npos ? "" : job.str().substr(found + 4);
+}
+
+/// @return whether the tasks of the job are a gang.
+inline bool IsGang(const JobId& job) {
+  return job.str().find("-gang") != std::string::npos;
+}
+
 /// Decodes the requests of tests: "POST /ID" submits a job, "GET /ID" queries
 /// its state, "DELETE /ID" cancels it and "GET /" queries the queue length.
 inline CallerPort FakeCallers() {
@@ -381,6 +393,8 @@
       call.spec.steps[0].long_running = true;
       call.spec.steps[0].need.cpu = MilliCores(4000);
     }
+    call.spec.steps[0].required_label = WorkerLabel(RackOf(call.job));
+    call.spec.steps[0].gang = IsGang(call.job);
     if (call.job.empty()) {
       call.kind = Kind::kQueueLength;
     } else if (request.method == HttpMethod::kPost) {
@@ -519,18 +533,19 @@
           return topology;
         },
         .decode_worker = [](const StoredRow& row) -> Result<WorkerEntry> {
+          // The prefix of the worker's id before the dash, if any. The worker
+          // has it as a label, too.
+          const std::size_t dash = row.address.key.find('-');
+          const std::string rack =
+              dash == std::string::npos ? "" : row.address.key.substr(0, dash);
           return WorkerEntry{
               .id = WorkerId(row.address.key),
               .endpoint = "worker:1",
               .service = ServiceId("desk"),
               .data_centre = DataCentreId("dc"),
               .capacity = {MilliCores(8000), MebiBytes(8000), {}},
-              .labels = {},
-              // The prefix of the worker's id before the dash, if any.
-              .rack = RackId(
-                  row.address.key.find('-') == std::string::npos
-                      ? ""
-                      : row.address.key.substr(0, row.address.key.find('-')))};
+              .labels = {WorkerLabel(rack)},
+              .rack = RackId(rack)};
         }};
   }
 
--- a/gypsumfall/scheduler/internal/peer_service.h
+++ b/gypsumfall/scheduler/internal/peer_service.h
@@ -37,8 +37,9 @@
   /// Queries the number of waiting jobs, summed over all shards.
   void QueryQueueLength(const QueueId& queue, Duration timeout,
                         UniqueFunction<Result<QueueLengthReply>> done);
-  /// Cancels a job. The reply tells whether the job is known; if it is, its
-  /// cancellation is stored or it has ended before.
+  /// Cancels a job. The reply tells whether the job is known; if it is, it is
+  /// held by another shard that the reply names, or its cancellation is stored,
+  /// or it has ended before.
   void Cancel(Shard& shard, const JobId& id, Duration timeout,
               UniqueFunction<Result<JobStateReply>> done);
   /// Asks a shard to reserve workers for tasks that other shards wait to run.
@@ -46,6 +47,10 @@
                      Duration timeout,
                      UniqueFunction<Result<ReservePlacesReply>> done);
 
+  /// Asks a shard which of the jobs it can take that wait in another one.
+  void OfferJobs(Shard& shard, const OfferJobsRequest& request,
+                 Duration timeout, UniqueFunction<Result<OfferJobsReply>> done);
+
  private:
   void RequestHandovers();
   void Serve(const HttpRequest& request, Responder respond);
--- a/gypsumfall/scheduler/internal/stored_jobs.h
+++ b/gypsumfall/scheduler/internal/stored_jobs.h
@@ -27,13 +27,16 @@
 void LoadJobRows(Context& context, const ShardScope& scope, Duration timeout,
                  UniqueFunction<LoadedRows> done);
 
-/// Reads the rows of all sliced jobs, and the transfers of their tasks.
+/// Reads the rows of all sliced jobs, the transfers of their tasks, and the
+/// moves of other jobs.
 /// Parameters are those of `LoadJobRows`.
 void LoadSlicedJobRows(Context& context, std::uint64_t shard_count,
                        Duration timeout, UniqueFunction<LoadedRows> done);
 
 /// @return whether the row of the table of sliced jobs is a transfer of a task.
 bool IsTransferRow(const RowAddress& address);
+/// @return whether the row of the table of sliced jobs is a move of a job.
+bool IsMoveRow(const RowAddress& address);
 
 /// @return transactions that empty the records of ended jobs, one for each
 ///   partition. Records are only emptied to make them small: an ended job is
@@ -107,6 +110,8 @@
   /// other shards.
   std::vector<TaskTransfer> own_transfers;
   std::vector<TaskTransfer> other_transfers;
+  /// Moves of jobs that all shards have stored.
+  std::vector<JobMove> moves;
   /// Versions of the job table and of the table of sliced jobs from which
   /// changes must be read.
   RowVersion version;
--- a/gypsumfall/scheduler/internal/transfer_service.h
+++ b/gypsumfall/scheduler/internal/transfer_service.h
@@ -12,9 +12,9 @@
 
 namespace gypsumfall::scheduler_internal {
 
-/// Finds shards that run the waiting tasks of the shards that this host leads:
-/// asks the other shards in turn to reserve workers, and transfers the tasks
-/// for which one of them has.
+/// Finds shards that run the waiting work of the shards that this host leads:
+/// asks the other shards in turn to reserve workers for tasks of sliced jobs,
+/// and which other jobs they can take, and gives these away.
 class TransferService : public Service {
  public:
   explicit TransferService(Context& context) : context_(context) {}
@@ -27,7 +27,7 @@
   std::string Dump() const override;
 
  private:
-  /// The search for places for the tasks of one shard.
+  /// The search for places for the tasks, or for the jobs, of one shard.
   struct Search {
     bool pending = false;
     /// Distance from the shard to the one that is asked next.
@@ -36,12 +36,17 @@
 
   void Tick();
   void AskNextShard(Shard& shard, Search& search);
+  void OfferJobs(Shard& shard, Search& search);
+  /// @return the shard that is asked next.
+  Shard& NextShard(const Shard& shard, const Search& search) const;
+  void Advance(Search& search) const;
 
   Context& context_;
   Logger log_{"transfers"};
   ShardService* shards_ = nullptr;
   PeerService* peers_ = nullptr;
   std::map<ShardId, Search> searches_;
+  std::map<ShardId, Search> job_searches_;
 };
 
 }  // namespace gypsumfall::scheduler_internal
--- a/gypsumfall/scheduler/peer_service.cc
+++ b/gypsumfall/scheduler/peer_service.cc
@@ -15,6 +15,7 @@
 constexpr std::string_view kQueueCall = "queue-length";
 constexpr std::string_view kHandoverCall = "handover";
 constexpr std::string_view kReservePlacesCall = "reserve-places";
+constexpr std::string_view kOfferJobsCall = "offer-jobs";
 
 constexpr Duration kReportTimeout = milliseconds(500);
 constexpr Duration kHandoverTimeout = milliseconds(2500);
@@ -147,6 +148,17 @@
        DecodeInto(std::move(done)));
 }
 
+void PeerService::OfferJobs(Shard& shard, const OfferJobsRequest& request,
+                            Duration timeout,
+                            UniqueFunction<Result<OfferJobsReply>> done) {
+  if (shard.dispatch.is_scheduling()) {
+    done(shard.dispatch.ChooseOffered(request));
+    return;
+  }
+  Call(shard, kOfferJobsCall, Encode(request), timeout,
+       DecodeInto(std::move(done)));
+}
+
 // Leadership returns from small hosts, which lead only while no larger host
 // can, to larger ones.
 void PeerService::RequestHandovers() {
@@ -270,6 +282,12 @@
     if (!places) return respond(ErrorResponse(places.error()));
     return respond({.body = Encode(dispatch.ReservePlaces(*places))});
   }
+  if (call == kOfferJobsCall) {
+    const Result<OfferJobsRequest> offer =
+        Decode<OfferJobsRequest>(request.body);
+    if (!offer) return respond(ErrorResponse(offer.error()));
+    return respond({.body = Encode(dispatch.ChooseOffered(*offer))});
+  }
   Result<JobQuery> query = Decode<JobQuery>(request.body);
   if (!query) return respond(ErrorResponse(query.error()));
   if (call == kStateCall) {
@@ -277,9 +295,9 @@
   }
   if (call == kCancelCall) {
     dispatch.Cancel(query->id, [respond = std::move(respond)](
-                                   const Result<bool>& known) mutable {
-      if (!known) return respond(ErrorResponse(known.error()));
-      respond({.body = Encode(JobStateReply{*known, JobState::kCancelled})});
+                                   const Result<JobStateReply>& reply) mutable {
+      if (!reply) return respond(ErrorResponse(reply.error()));
+      respond({.body = Encode(*reply)});
     });
     return;
   }
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -51,6 +51,10 @@
               std::to_string(task.step) + "/" + std::to_string(task.index)};
 }
 
+RowAddress MoveAddress(const ShardScope& scope, const JobId& id) {
+  return {kSlicedJobTable, scope.partition, id.str()};
+}
+
 // Reads the rows of several partitions of a table.
 // @param done called with the rows, in the order of the partitions, and the
 //   earliest version of the reads, or with the outcome of a read that failed.
@@ -159,10 +163,12 @@
 void DecodeSlicedJobs(const ShardScope& scope, LoadedRows loaded,
                       StateLoad& loading) {
   LoadedRows jobs;
+  LoadedRows moves;
   LoadedRows own_transfers;
   LoadedRows other_transfers;
   for (StoredRow& row : loaded.rows) {
-    LoadedRows& target = !IsTransferRow(row.address) ? jobs
+    LoadedRows& target = IsMoveRow(row.address)        ? moves
+                         : !IsTransferRow(row.address) ? jobs
                          : row.address.partition == scope.partition
                              ? own_transfers
                              : other_transfers;
@@ -172,6 +178,7 @@
   state.sliced_jobs = DecodeAll<JobRecord>(jobs, loading.log);
   state.own_transfers = DecodeAll<TaskTransfer>(own_transfers, loading.log);
   state.other_transfers = DecodeAll<TaskTransfer>(other_transfers, loading.log);
+  state.moves = DecodeAll<JobMove>(moves, loading.log);
 }
 
 void DecodeProgress(LoadedRows loaded, StateLoad& loading) {
@@ -226,7 +233,13 @@
 }
 
 bool IsTransferRow(const RowAddress& address) {
-  return address.partition != kSlicedJobPartition;
+  return address.partition != kSlicedJobPartition &&
+         address.key.find('/') != std::string::npos;
+}
+
+bool IsMoveRow(const RowAddress& address) {
+  return address.partition != kSlicedJobPartition &&
+         address.key.find('/') == std::string::npos;
 }
 
 std::vector<RowTransaction> EmptyJobsTransactions(
@@ -347,6 +360,12 @@
   for (const TaskName& task : batch.obsolete_transfers) {
     rows.removals.push_back(TransferAddress(scope, task));
   }
+  for (const JobMove& move : batch.moves) {
+    rows.writes.push_back({MoveAddress(scope, move.record.id), Encode(move)});
+  }
+  for (const JobId& id : batch.obsolete_moves) {
+    rows.removals.push_back(MoveAddress(scope, id));
+  }
   for (const LeaseHolder& holder : batch.roster_entries) {
     RosterEntry entry{.id = holder.id, .endpoint = holder.endpoint};
     if (holder.lease_end)
--- a/gypsumfall/scheduler/transfer_service.cc
+++ b/gypsumfall/scheduler/transfer_service.cc
@@ -10,6 +10,9 @@
 // full.
 constexpr Duration kSearchInterval = milliseconds(500);
 constexpr std::size_t kMaxTasksPerRequest = 16;
+// More than for tasks, so that many jobs which no shard can run do not delay
+// the offer of the others. A search ends at the first worker that would do.
+constexpr std::size_t kMaxJobsPerRequest = 64;
 constexpr Duration kRequestTimeout = milliseconds(500);
 
 }  // namespace
@@ -34,22 +37,35 @@
 void TransferService::Tick() {
   if (shards_->shards().size() <= 1) return;
   for (const auto& shard : shards_->shards()) {
+    if (!shard->dispatch.is_scheduling()) continue;
     Search& search = searches_[shard->scope.id];
-    if (!search.pending && shard->dispatch.is_scheduling())
-      AskNextShard(*shard, search);
+    if (!search.pending) AskNextShard(*shard, search);
+    Search& job_search = job_searches_[shard->scope.id];
+    if (!job_search.pending) OfferJobs(*shard, job_search);
   }
 }
 
-void TransferService::AskNextShard(Shard& shard, Search& search) {
+Shard& TransferService::NextShard(const Shard& shard,
+                                  const Search& search) const {
   const std::uint64_t count = shards_->shards().size();
-  const ShardId other((shard.scope.id.value() + search.next_offset) % count);
+  return *shards_->FindShard(
+      ShardId((shard.scope.id.value() + search.next_offset) % count));
+}
+
+void TransferService::Advance(Search& search) const {
+  search.next_offset = search.next_offset % (shards_->shards().size() - 1) + 1;
+}
+
+void TransferService::AskNextShard(Shard& shard, Search& search) {
+  Shard& other_shard = NextShard(shard, search);
+  const ShardId other = other_shard.scope.id;
   const std::vector<TaskName> tasks =
       shard.dispatch.TasksToTransfer(other, kMaxTasksPerRequest);
   if (tasks.empty()) return;
-  search.next_offset = search.next_offset % (count - 1) + 1;
+  Advance(search);
   search.pending = true;
   peers_->ReservePlaces(
-      *shards_->FindShard(other), {.tasks = tasks}, kRequestTimeout,
+      other_shard, {.tasks = tasks}, kRequestTimeout,
       [this, &shard, &search, other](Result<ReservePlacesReply> reply) {
         search.pending = false;
         if (!reply) {
@@ -63,4 +79,27 @@
       });
 }
 
+void TransferService::OfferJobs(Shard& shard, Search& search) {
+  Shard& other_shard = NextShard(shard, search);
+  const ShardId other = other_shard.scope.id;
+  std::vector<JobOffer> offers =
+      shard.dispatch.JobsToMove(other, kMaxJobsPerRequest);
+  if (offers.empty()) return;
+  Advance(search);
+  search.pending = true;
+  peers_->OfferJobs(
+      other_shard, {.offers = std::move(offers)}, kRequestTimeout,
+      [this, &shard, &search, other](const Result<OfferJobsReply>& reply) {
+        search.pending = false;
+        if (!reply) {
+          log_.Info("another shard does not tell which jobs it can take",
+                    {{"shard", shard.scope.id},
+                     {"other_shard", other},
+                     {"why", reply.error().detail}});
+          return;
+        }
+        shard.dispatch.MoveJobs(*reply, other);
+      });
+}
+
 }  // namespace gypsumfall::scheduler_internal
