Slice all long-running jobs whose tasks are independent

A long-running task that requires a label, or whose data is in a rack, waited for ever while other tasks of its job ran, if the workers left for it were in another shard: such jobs were not sliced, so their tasks were not transferred, and a job moves only while nothing of it runs.

IsSliceable now leaves out dependent steps, gangs and steps that share a rack only. Best-effort tasks that last are transferred, too, if no worker of their shard could run them; their reservation holds memory but no processors. A place is reserved outside the rack of the data if no worker there has room, because the task has waited for longer than the rack is worth by then.

Jobs that were accepted by an earlier build stay whole and move as a whole.

--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -41,8 +41,7 @@
       IsFinal(job->state) || task->phase != TaskPhase::kReady) {
     return nullptr;
   }
-  const StepSpec& spec = job->spec_of(name);
-  if (!spec.long_running || spec.best_effort) return nullptr;
+  if (!job->spec_of(name).long_running) return nullptr;
   // The task may still run on a worker that has not reported yet.
   return EarlierRunsKnown(*job, name) ? task : nullptr;
 }
@@ -54,6 +53,10 @@
     Job* job = FindJobOf(ref);
     if (job == nullptr || job->slice.IsWhole()) continue;
     TaskName name{ref.job, ref.occurrence, ref.step, 0};
+    // Best-effort tasks wait while those that serve need the workers.
+    const StepSpec& spec = job->spec_of(name);
+    if (spec.best_effort && HasPlacesFor(job->record.terms, spec, now))
+      continue;
     StepOf(*job, name).tasks.VisitReady([&](int index) {
       name.index = index;
       const Task* task = FindTransferable(name);
@@ -88,11 +91,18 @@
   if (job->record.accepted_epoch < epoch_ && !predecessor_runs_known_)
     return false;
   ReleaseReservationOf(name, *task);
-  const PlacementRequest request = RequestFor(*job, name, StepOf(*job, name));
+  PlacementRequest request = RequestFor(*job, name, StepOf(*job, name));
   Worker* worker = ChooseWorker(workers_, request, interference_, now);
+  if (worker == nullptr) {
+    // The task has waited for longer than its rack is worth.
+    request.rack = RackId();
+    worker = ChooseWorker(workers_, request, interference_, now);
+  }
   if (worker == nullptr || FailsRuns(*worker, now)) return false;
+  Resources need = request.spec->need;
+  if (request.spec->best_effort) need.cpu = MilliCores(0);
   Reserve(*worker, name,
-          {.need = request.spec->need,
+          {.need = need,
            .priority = dispatch_internal::kHighestPriority,
            .until = now + kTransferTime,
            .committed = true});
--- a/gypsumfall/dispatch/internal/simulated_shards.h
+++ b/gypsumfall/dispatch/internal/simulated_shards.h
@@ -69,6 +69,15 @@
     shard(home).Submit(shard(home).Record(id, spec, max_attempts));
   }
 
+  /// Submits a job as a host does that accepts it.
+  void SubmitAccepted(int home, const std::string& id, const JobSpec& spec) {
+    if (IsSliceable(spec)) {
+      Submit(id, spec);
+    } else {
+      SubmitWhole(home, id, spec);
+    }
+  }
+
   /// @return the state of a job that is not sliced, as a host that starts at
   ///   the home shard finds it.
   JobStateReply StateOf(const JobId& id) {
--- a/gypsumfall/dispatch/transfers_test.cc
+++ b/gypsumfall/dispatch/transfers_test.cc
@@ -92,6 +92,40 @@
   CHECK(shards.Violations().empty());
 }
 
+// Guards against a long-running task that waits for ever, while others of its
+// job run, because the worker it requires is in another shard.
+TEST_CASE("each task of a job runs where its requirements are met") {
+  SimulatedShards shards(2);
+  JobSpec spec = Tasks(4, 2);
+  spec.steps[0].required_label = WorkerLabel("b");
+  SECTION("and one task on each worker") {
+    spec.steps[0].max_per_worker = 1;
+    shards.shard(0).AddWorker(0, Cores(16), "b");
+    for (int k = 0; k < 3; ++k) shards.shard(1).AddWorker(k, Cores(16), "b");
+  }
+  SECTION("in a shard that is not the home of the job") {
+    shards.shard(0).AddWorker(0, Cores(16));
+    shards.shard(1).AddWorker(0, Cores(16), "b");
+  }
+  SECTION("for best-effort tasks") {
+    spec.steps[0].best_effort = true;
+    shards.shard(0).AddWorker(0, Cores(16));
+    shards.shard(1).AddWorker(0, Cores(16), "b");
+  }
+  SECTION("for tasks whose data is in a rack of a shard without room") {
+    spec.steps[0].required_label = WorkerLabel();
+    spec.steps[0].data_rack = RackId("rack0");
+    shards.shard(0).AddWorker(0, Cores(2));
+    shards.shard(1).AddWorker(4, Cores(16));
+  }
+  for (int i = 0; i < 2; ++i) RunUntilStopped(shards.shard(i));
+  shards.Advance(milliseconds(100));
+  shards.SubmitAccepted(0, "job", spec);
+  shards.Advance(seconds(6));
+  for (int i = 0; i < 4; ++i) CHECK(shards.RunningNow(JobTask(i)) == 1);
+  CHECK(shards.Violations().empty());
+}
+
 // Guards against a task that both shards run because its transfer was lost with
 // the leader, and against one that neither of them runs.
 TEST_CASE("a transfer that was not stored leaves the task in its shard") {
--- a/gypsumfall/jobs/internal/job_spec.h
+++ b/gypsumfall/jobs/internal/job_spec.h
@@ -119,9 +119,10 @@
 ///   with the faulty field.
 Result<void> ValidateJob(const JobSpec& spec);
 
-/// @return whether the tasks of the job are independent of each other and of
-///   any rack, and run until the job is cancelled. Different schedulers can run
-///   slices of such a job without coordination.
+/// @return whether the tasks of the job are independent of each other and run
+///   until the job is cancelled. Different schedulers can run slices of such a
+///   job without coordination. Tasks whose workers another scheduler has are
+///   transferred to it.
 bool IsSliceable(const JobSpec& spec);
 
 /// @return for each step the length of the critical path from the start of the
--- a/gypsumfall/jobs/job_rules.cc
+++ b/gypsumfall/jobs/job_rules.cc
@@ -73,8 +73,7 @@
   return std::all_of(
       spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) {
         return step.long_running && step.after.empty() && !step.gang &&
-               !step.same_rack && step.data_rack.empty() &&
-               step.required_label.empty();
+               !step.same_rack;
       });
 }
 
