Let another shard take a job before it starts on workers that fail runs

A job whose home shard had only workers that fail what they start (for its label, its size or its gang) used up its attempts there and was shown as failed, beside a shard with healthy ones. In one shard such workers are chosen last; the border of the shard made them the only choice.

A task now waits for up to 2 s before it starts on a worker that fails its runs, if no healthy worker of the shard could run it, nothing of its job runs and there are other shards. In this time its job is offered to them. If none wants it, it starts as before. Deployments with one shard are not affected.

--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -45,6 +45,10 @@
 // it is logged again.
 constexpr Duration kWaitEventDelay = seconds(2);
 constexpr Duration kWaitEventInterval = seconds(5);
+// Time for which a task does not start on a worker that fails its runs while no
+// other worker of the shard could run it. In this time another shard takes the
+// job, if one wants it.
+constexpr Duration kWaitForOtherShard = seconds(2);
 // Changes of the share below this, in percentage points, are not worth an
 // order.
 constexpr int kMinThrottleChangePercent = 5;
@@ -494,9 +498,21 @@
     request.rack = RackId();
     worker = ChooseWorker(workers_, request, interference_, now);
   }
+  if (worker != nullptr && AwaitsOtherShard(job, name, *worker, now))
+    return nullptr;
   return worker;
 }
 
+bool Dispatcher::AwaitsOtherShard(const Job& job, const TaskName& name,
+                                  const Worker& worker, Time now) {
+  const StepSpec& spec = job.spec_of(name);
+  const Task& task = *jobs_.FindTask(name);
+  return settings_.has_other_shards && job.slice.IsWhole() && !job.immovable &&
+         now < task.ready_since + kWaitForOtherShard &&
+         FailsRuns(worker, now) && !HasBoundRun(job) &&
+         !HasPlacesFor(job.record.terms, spec, now);
+}
+
 StartOrder Dispatcher::PlaceRun(Worker& worker, Job& job, const TaskName& name,
                                 Task& task, Time now) {
   ReleaseReservationOf(name, task);
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -27,6 +27,8 @@
 struct DispatchSettings {
   /// Shard whose workers and tasks are scheduled.
   ShardId shard;
+  /// Whether there are other shards, to which jobs may be moved.
+  bool has_other_shards = false;
   /// Longest lease that workers accept.
   Duration max_lease = seconds(6);
   /// Longest time that a predecessor may have sent orders after it was
@@ -480,6 +482,10 @@
   bool StartGang(Job& job, const TaskName& first, Step& step, Time now,
                  std::vector<Order>& orders);
   Worker* WorkerFor(Job& job, const TaskName& name, Step& step, Time now);
+  /// @return whether a task should not start on a worker that fails its runs,
+  ///   because another shard may take its job soon.
+  bool AwaitsOtherShard(const Job& job, const TaskName& name,
+                        const Worker& worker, Time now);
   StartOrder PlaceRun(Worker& worker, Job& job, const TaskName& name,
                       Task& task, Time now);
 
--- a/gypsumfall/dispatch/internal/simulated_shards.h
+++ b/gypsumfall/dispatch/internal/simulated_shards.h
@@ -295,7 +295,7 @@
   };
 
   struct Shard {
-    explicit Shard(ShardId id) : cluster(0, {}, id) {}
+    explicit Shard(ShardId id) : cluster(0, {}, id, true) {}
 
     SimulatedCluster cluster;
     bool reads_changes = true;
