Transfer a task to a busy shard if only that one can run it

A long-running task whose own shard has no worker for it was transferred only to a shard that had a worker free at the moment it was asked. Where short tasks use all that becomes free there, that moment does not come.

The request now names the tasks that no worker of the asking shard could run. For these the other shard reserves the worker that can have enough soonest, as it does for its own starving tasks.

Measured: the new test (7 tasks of 2 cores wanted at a time on 8 cores) fails without the change and passes.

--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -29,10 +29,12 @@
 }  // namespace
 
 using dispatch_internal::ChooseWorker;
+using dispatch_internal::ChooseWorkerToReserve;
 using dispatch_internal::FailsRuns;
 using dispatch_internal::kRunsPerEpoch;
 using dispatch_internal::Reserve;
 using dispatch_internal::TaskPhase;
+using dispatch_internal::TimeUntilFits;
 
 const Dispatcher::Task* Dispatcher::FindTransferable(const TaskName& name) {
   const Job* job = jobs_.Find(name.job);
@@ -78,7 +80,14 @@
   return names;
 }
 
-bool Dispatcher::ReservePlace(const TaskName& name, Time now) {
+bool Dispatcher::IsUnplaceable(const TaskName& name, Time now) {
+  const Job* job = jobs_.Find(name.job);
+  return job != nullptr && job->HasTask(name) &&
+         !HasPlacesFor(job->record.terms, job->spec_of(name), now);
+}
+
+bool Dispatcher::ReservePlace(const TaskName& name, Time now,
+                              bool unplaceable) {
   Job* job = jobs_.Find(name.job);
   if (job == nullptr || job->slice.IsWhole() || IsFinal(job->state) ||
       !job->HasTask(name) || job->IsCompleted(name.occurrence)) {
@@ -98,13 +107,15 @@
     request.rack = RackId();
     worker = ChooseWorker(workers_, request, interference_, now);
   }
+  if (unplaceable && (worker == nullptr || FailsRuns(*worker, now)))
+    worker = ChooseWorkerToReserve(workers_, request, now);
   if (worker == nullptr || FailsRuns(*worker, now)) return false;
   Resources need = request.spec->need;
   if (request.spec->best_effort) need.cpu = MilliCores(0);
   Reserve(*worker, name,
           {.need = need,
            .priority = dispatch_internal::kHighestPriority,
-           .until = now + kTransferTime,
+           .until = now + kTransferTime + TimeUntilFits(*worker, request, now),
            .committed = true});
   task->reserved_on = worker->entry.id;
   return true;
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -192,10 +192,15 @@
   ///   here for some time, for `TransferTask`.
   std::vector<TaskName> TasksToTransfer(ShardId other, Time now,
                                         std::size_t limit);
+  /// @return whether no worker of this shard could run the task, even if all
+  ///   runs of finite length ended.
+  bool IsUnplaceable(const TaskName& name, Time now);
   /// Reserves a worker for a task that another shard may transfer to this one.
   /// The reservation lasts long enough to store and read the transfer.
-  /// @return whether a worker has enough free resources now.
-  bool ReservePlace(const TaskName& name, Time now);
+  /// @param unplaceable no worker of the other shard could run the task, so
+  ///   that it waits here if it has to wait for the end of other runs.
+  /// @return whether a worker is reserved.
+  bool ReservePlace(const TaskName& name, Time now, bool unplaceable = false);
   /// Gives a waiting task to another shard. The transfer takes effect when the
   /// batch with it is stored.
   /// @return whether the task still waits.
--- a/gypsumfall/dispatch/internal/simulated_shards.h
+++ b/gypsumfall/dispatch/internal/simulated_shards.h
@@ -186,7 +186,9 @@
     Reply reply{
         .arrives = now() + reply_delay(), .shard = other_id, .reserved = {}};
     for (const TaskName& name : tasks) {
-      if (shard(other).dispatcher().ReservePlace(name, now()))
+      const bool unplaceable =
+          giver.cluster.dispatcher().IsUnplaceable(name, now());
+      if (shard(other).dispatcher().ReservePlace(name, now(), unplaceable))
         reply.reserved.push_back(name);
     }
     giver.reply = std::move(reply);
--- a/gypsumfall/dispatch/job_moves_test.cc
+++ b/gypsumfall/dispatch/job_moves_test.cc
@@ -29,7 +29,7 @@
           .declared_run_time = milliseconds(400)};
 }
 
-StepSpec LabelledStep(int tasks, int cores, const std::string &label) {
+StepSpec LabelledStep(int tasks, int cores, const std::string& label) {
   StepSpec step = StepOf(tasks, cores);
   step.required_label = WorkerLabel(label);
   return step;
@@ -47,17 +47,17 @@
 
 /// Shards of which the first one is the home of the job.
 class Shards : public SimulatedShards {
-public:
+ public:
   explicit Shards(int count = 2) : SimulatedShards(count) {}
 
-  void SubmitJob(const JobSpec &spec, int max_attempts = 2) {
+  void SubmitJob(const JobSpec& spec, int max_attempts = 2) {
     SubmitWhole(0, kJob.str(), spec, max_attempts);
   }
   JobState State() { return StateOf(kJob).state; }
 
   /// Checks that the job is completed, that its tasks started once, and that no
   /// row of a move is left.
-  void CheckCompletedOnce(const JobSpec &spec) {
+  void CheckCompletedOnce(const JobSpec& spec) {
     CHECK(State() == JobState::kCompleted);
     CHECK(shard(0).HasStoredEnd(kJob));
     for (std::size_t s = 0; s < spec.steps.size(); ++s) {
@@ -71,7 +71,7 @@
     CHECK(StoredMoves().empty());
     for (int i = 0; i < shard_count(); ++i) {
       CHECK_FALSE(shard(i).stored_progress.contains(kJob));
-      for (const auto &[row, chunk] : shard(i).stored_chunks)
+      for (const auto& [row, chunk] : shard(i).stored_chunks)
         CHECK(row.job != kJob);
     }
     CHECK(Violations().empty());
@@ -82,18 +82,18 @@
 // run a step from one whose workers are busy.
 TEST_CASE("the reason for a wait tells whether a worker could run the step") {
   SimulatedCluster cluster(2, Cores(8));
-  cluster.run_of = [](const TaskName &, int) {
+  cluster.run_of = [](const TaskName&, int) {
     return std::pair{Duration(seconds(100)), RunOutcome::kDone};
   };
-  for (const char *id : {"first", "second"})
+  for (const char* id : {"first", "second"})
     cluster.Submit(cluster.Record(id, SpecOf({LabelledStep(1, 8, "rack0")})));
   cluster.Advance(milliseconds(100));
-  for (const char *label : {"rack0", "b"}) {
+  for (const char* label : {"rack0", "b"}) {
     cluster.dispatcher().TakeEvents();
     cluster.Submit(cluster.Record(label, SpecOf({LabelledStep(1, 2, label)})));
     cluster.Advance(seconds(3));
     std::vector<std::string> reasons;
-    for (const DispatchEvent &event : cluster.dispatcher().TakeEvents()) {
+    for (const DispatchEvent& event : cluster.dispatcher().TakeEvents()) {
       if (event.task.job == JobId(label) && event.message == "step waiting")
         reasons.push_back(event.reason);
     }
@@ -198,7 +198,7 @@
   SECTION("for a step that runs until its job is cancelled") {
     spec.steps[1].long_running = lasts = true;
     for (int i = 0; i < 2; ++i) {
-      shards.shard(i).run_of = [](const TaskName &task, int) {
+      shards.shard(i).run_of = [](const TaskName& task, int) {
         return std::pair{task.step == 1 ? Duration(seconds(1000))
                                         : Duration(milliseconds(300)),
                          RunOutcome::kDone};
@@ -248,14 +248,12 @@
   const int replaced = GENERATE(-1, 0, 1, 2);
   shards.SubmitJob(spec);
   for (int i = 0; i < 60; ++i) {
-    if (replaced >= 0 && i % 25 == 24)
-      shards.TakeOver(replaced);
+    if (replaced >= 0 && i % 25 == 24) shards.TakeOver(replaced);
     shards.Advance(milliseconds(500));
   }
   shards.CheckCompletedOnce(spec);
   if (repeated) {
-    for (int s = 0; s < 4; ++s)
-      CHECK(shards.StartsOf({kJob, 1, s, 0}) == 1);
+    for (int s = 0; s < 4; ++s) CHECK(shards.StartsOf({kJob, 1, s, 0}) == 1);
   }
 }
 
@@ -268,7 +266,7 @@
   shards.shard(1).AddWorker(2, Cores(4), "b");
   shards.Advance(milliseconds(100));
   for (int i = 0; i < 2; ++i) {
-    shards.shard(i).run_of = [](const TaskName &, int) {
+    shards.shard(i).run_of = [](const TaskName&, int) {
       return std::pair{Duration(milliseconds(300)), RunOutcome::kFailed};
     };
   }
@@ -288,8 +286,7 @@
 // shown as ended, or keep others from being offered.
 TEST_CASE("a job that no shard can run stays until one can") {
   Shards shards;
-  for (int i = 0; i < 2; ++i)
-    shards.shard(i).AddWorker(i, Cores(8));
+  for (int i = 0; i < 2; ++i) shards.shard(i).AddWorker(i, Cores(8));
   shards.Advance(milliseconds(100));
   const int others = 200;
   for (int i = 0; i < others; ++i)
@@ -310,10 +307,9 @@
 // a while.
 TEST_CASE("a job that waits for the end of other work stays in its shard") {
   Shards shards;
-  for (int i = 0; i < 2; ++i)
-    shards.shard(i).AddWorker(i, Cores(4));
+  for (int i = 0; i < 2; ++i) shards.shard(i).AddWorker(i, Cores(4));
   shards.Advance(milliseconds(100));
-  shards.shard(0).run_of = [](const TaskName &, int) {
+  shards.shard(0).run_of = [](const TaskName&, int) {
     return std::pair{Duration(seconds(5)), RunOutcome::kDone};
   };
   shards.SubmitWhole(0, "first", SpecOf({StepOf(1, 4)}));
@@ -420,8 +416,7 @@
   shards.SetReadsChanges(0, true);
   shards.Advance(seconds(8));
   shards.CheckCompletedOnce(shards.spec);
-  for (const int index : {0, 1, 0})
-    shards.TakeOver(index);
+  for (const int index : {0, 1, 0}) shards.TakeOver(index);
   shards.Advance(seconds(8));
   shards.CheckCompletedOnce(shards.spec);
 }
@@ -444,8 +439,7 @@
   shards.Advance(seconds(4));
   shards.CheckCompletedOnce(shards.spec);
   for (std::size_t i = 0; i < shards.change_count(); ++i) {
-    for (int index = 0; index < 2; ++index)
-      shards.ReadAgain(index, i);
+    for (int index = 0; index < 2; ++index) shards.ReadAgain(index, i);
   }
   shards.Advance(seconds(4));
   shards.CheckCompletedOnce(shards.spec);
@@ -455,7 +449,7 @@
 // other rows, from being stored.
 TEST_CASE("a job whose move is rejected by the store stays in its shard") {
   MovedJobShards shards;
-  shards.shard(0).rejects = [](const RecordBatch &batch) {
+  shards.shard(0).rejects = [](const RecordBatch& batch) {
     return !batch.moves.empty();
   };
   shards.Advance(seconds(4));
@@ -476,7 +470,7 @@
   shards.SubmitJob(SpecOf(steps));
   shards.offers_jobs = false;
   shards.Advance(seconds(2));
-  Dispatcher &giver = shards.shard(0).dispatcher();
+  Dispatcher& giver = shards.shard(0).dispatcher();
   CHECK_FALSE(giver.MoveJob(kJob, ShardId(1), Epoch(1), shards.now()));
   CHECK_FALSE(giver.IsMoving(kJob));
   CHECK(giver.JobsToMove(ShardId(1), shards.now(), 10).empty());
@@ -497,20 +491,24 @@
   std::vector<std::string> violations;
 };
 
-/// Random faults in two or three shards, each of which has workers with a label
-/// of its own. The steps of the jobs require these labels.
+// Labels of the workers. Each shard lacks one of them, and has one worker with
+// each of the others, so that it lacks a further one while a worker is lost.
+constexpr int kLabels = 4;
+
+/// Random faults in two or three shards. The steps of the jobs require labels.
 class Interleaving {
-public:
+ public:
   explicit Interleaving(std::uint64_t seed)
       : random_(seed), shards_(static_cast<int>(2 + Below(2))) {
     for (int i = 0; i < shards_.shard_count(); ++i) {
-      SimulatedCluster &cluster = shards_.shard(i);
+      SimulatedCluster& cluster = shards_.shard(i);
       for (int k = 0; k < 3; ++k)
-        cluster.AddWorker(k, Cores(6), "only" + std::to_string(i));
-      cluster.run_of = [this](const TaskName &task, int) {
+        cluster.AddWorker(k, Cores(6), LabelOf((i + k) % kLabels));
+      cluster.run_of = [this](const TaskName& task, int) {
         ++runs_[task];
-        return std::pair{Duration(milliseconds(100 + Below(600))),
-                         RunOutcome::kDone};
+        return std::pair{
+            Duration(milliseconds(100 + Below(600) + (OneIn(5) ? 3000 : 0))),
+            RunOutcome::kDone};
       };
       cluster.record_answer_delay = [this] {
         return Duration(milliseconds(OneIn(4) ? Below(1500) : Below(20)));
@@ -534,8 +532,7 @@
       shards_.Advance(kSimulationStep);
       CheckDone();
     }
-    if (!Failed())
-      CheckAllJobsEnded();
+    if (!Failed()) CheckAllJobsEnded();
     report_.moves = shards_.move_count();
     const std::vector<std::string> found = shards_.Violations();
     report_.violations.insert(report_.violations.end(), found.begin(),
@@ -543,7 +540,10 @@
     return report_;
   }
 
-private:
+ private:
+  static std::string LabelOf(int number) {
+    return "l" + std::to_string(number);
+  }
   std::uint64_t Below(std::uint64_t bound) { return random_() % bound; }
   bool OneIn(std::uint64_t count) { return Below(count) == 0; }
   bool Failed() const {
@@ -551,40 +551,32 @@
   }
 
   void AddFaults() {
-    if (OneIn(60))
-      SubmitJob();
-    if (OneIn(400))
-      CancelJob();
-    if (OneIn(150))
-      LoseWorker();
-    for (auto &[worker, heals_at] : lost_) {
-      if (shards_.now() >= heals_at)
-        Heal(worker);
+    if (OneIn(60)) SubmitJob();
+    if (OneIn(400)) CancelJob();
+    if (OneIn(150)) LoseWorker();
+    for (auto& [worker, heals_at] : lost_) {
+      if (shards_.now() >= heals_at) Heal(worker);
     }
-    std::erase_if(lost_, [&](const auto &entry) {
+    std::erase_if(lost_, [&](const auto& entry) {
       return shards_.now() >= entry.second;
     });
-    for (int i = 0; i < shards_.shard_count(); ++i)
-      AddShardFaults(i);
+    for (int i = 0; i < shards_.shard_count(); ++i) AddShardFaults(i);
   }
 
   void AddShardFaults(int index) {
-    SimulatedCluster &cluster = shards_.shard(index);
+    SimulatedCluster& cluster = shards_.shard(index);
     if (shards_.now() >= store_available_at_[index])
       cluster.store_available = true;
     if (OneIn(400)) {
       cluster.store_available = false;
       store_available_at_[index] = shards_.now() + milliseconds(Below(3000));
     }
-    if (OneIn(15))
-      shards_.ReadChanges(index);
+    if (OneIn(15)) shards_.ReadChanges(index);
     if (OneIn(10) && shards_.change_count() > 0)
       shards_.ReadAgain(index, Below(shards_.change_count()));
-    if (!OneIn(700))
-      return;
+    if (!OneIn(700)) return;
     ++report_.takeovers;
-    if (OneIn(2))
-      cluster.StoreRecords();
+    if (OneIn(2)) cluster.StoreRecords();
     shards_.TakeOver(index);
   }
 
@@ -593,13 +585,10 @@
     std::vector<StepSpec> steps;
     const auto count = static_cast<int>(1 + Below(3));
     for (int s = 0; s < count; ++s) {
-      const auto shard =
-          Below(static_cast<std::uint64_t>(shards_.shard_count()));
       steps.push_back(LabelledStep(static_cast<int>(1 + Below(3)), 1,
-                                   "only" + std::to_string(shard)));
+                                   LabelOf(static_cast<int>(Below(kLabels)))));
       steps.back().gang = OneIn(4);
-      if (s > 0 && !OneIn(4))
-        steps.back().after = {s - 1};
+      if (s > 0 && !OneIn(4)) steps.back().after = {s - 1};
     }
     specs_[JobId(id)] = SpecOf(std::move(steps));
     shards_.SubmitWhole(static_cast<int>(Below(
@@ -608,12 +597,10 @@
   }
 
   void CancelJob() {
-    if (specs_.empty())
-      return;
+    if (specs_.empty()) return;
     auto job = specs_.begin();
     std::advance(job, Below(specs_.size()));
-    if (shards_.CancelWhole(job->first))
-      cancelled_.insert(job->first);
+    if (shards_.CancelWhole(job->first)) cancelled_.insert(job->first);
   }
 
   void LoseWorker() {
@@ -622,10 +609,9 @@
         static_cast<int>(
             Below(static_cast<std::uint64_t>(shards_.shard_count()))),
         static_cast<int>(Below(3)));
-    if (lost_.contains(worker))
-      return;
+    if (lost_.contains(worker)) return;
     lost_[worker] = shards_.now() + milliseconds(Below(12'000));
-    SimulatedCluster &cluster = shards_.shard(worker.first);
+    SimulatedCluster& cluster = shards_.shard(worker.first);
     if (OneIn(2)) {
       cluster.worker(worker.second).partitioned = true;
     } else {
@@ -633,18 +619,16 @@
     }
   }
 
-  void Heal(const std::pair<int, int> &ref) {
-    SimulatedCluster &cluster = shards_.shard(ref.first);
-    SimulatedWorker &worker = cluster.worker(ref.second);
+  void Heal(const std::pair<int, int>& ref) {
+    SimulatedCluster& cluster = shards_.shard(ref.first);
+    SimulatedWorker& worker = cluster.worker(ref.second);
     worker.partitioned = false;
-    if (!worker.alive)
-      cluster.Restart(ref.second);
+    if (!worker.alive) cluster.Restart(ref.second);
     cluster.dispatcher().OnWorkerListed(worker.entry, shards_.now());
   }
 
   void EndFaults() {
-    for (const auto &[worker, heals_at] : lost_)
-      Heal(worker);
+    for (const auto& [worker, heals_at] : lost_) Heal(worker);
     lost_.clear();
     for (int i = 0; i < shards_.shard_count(); ++i) {
       shards_.shard(i).store_available = true;
@@ -654,7 +638,7 @@
 
   /// Checks that no task of a job starts after the job was shown as completed.
   void CheckDone() {
-    for (const auto &[id, spec] : specs_) {
+    for (const auto& [id, spec] : specs_) {
       const bool completed = shards_.StateOf(id).state == JobState::kCompleted;
       const auto found = runs_when_completed_.find(id);
       if (!completed) {
@@ -671,7 +655,7 @@
     }
   }
 
-  int RunsOf(const JobId &id) const {
+  int RunsOf(const JobId& id) const {
     int runs = 0;
     for (auto task = runs_.lower_bound({.job = id});
          task != runs_.end() && task->first.job == id; ++task)
@@ -680,7 +664,7 @@
   }
 
   void CheckAllJobsEnded() {
-    for (const auto &[id, spec] : specs_) {
+    for (const auto& [id, spec] : specs_) {
       const JobState state = shards_.StateOf(id).state;
       const bool cancelled = cancelled_.contains(id);
       if (!IsFinal(state))
@@ -710,7 +694,7 @@
     total.faults += report.faults;
     total.takeovers += report.takeovers;
     total.moves += report.moves;
-    for (const std::string &violation : report.violations)
+    for (const std::string& violation : report.violations)
       FAIL_CHECK("seed " << seed << ": " << violation);
   }
   WARN(seeds << " seeds, " << total.faults << " faults, " << total.takeovers
@@ -733,5 +717,5 @@
   CheckSeeds(100);
 }
 
-} // namespace
-} // namespace gypsumfall
+}  // namespace
+}  // namespace gypsumfall
--- a/gypsumfall/dispatch/transfers_test.cc
+++ b/gypsumfall/dispatch/transfers_test.cc
@@ -126,6 +126,32 @@
   CHECK(shards.Violations().empty());
 }
 
+// Guards against a long-running task that waits for ever because short ones use
+// all resources of the workers it requires, which are in another shard, as soon
+// as they become free.
+TEST_CASE("a task is transferred to a busy shard if only that can run it") {
+  SimulatedShards shards(2);
+  shards.shard(0).AddWorker(0, Cores(8));
+  shards.shard(1).AddWorker(0, Cores(8), "b");
+  for (int i = 0; i < 2; ++i) {
+    shards.shard(i).run_of = [](const TaskName& task, int) {
+      return std::pair{task.job == JobId("job") ? Duration(seconds(1000))
+                                                : Duration(milliseconds(700)),
+                       RunOutcome::kDone};
+    };
+  }
+  shards.Advance(milliseconds(100));
+  JobSpec spec = Tasks(2, 3);
+  spec.steps[0].required_label = WorkerLabel("b");
+  for (int i = 0; i < 100; ++i) {
+    if (i == 10) shards.SubmitAccepted(0, "job", spec);
+    shards.SubmitWhole(1, "short" + std::to_string(i), Tasks(1, 2, false));
+    shards.Advance(milliseconds(100));
+  }
+  for (int i = 0; i < 2; ++i) CHECK(shards.RunningNow(JobTask(i)) == 1);
+  CHECK(shards.Violations().empty());
+}
+
 // Guards against a task that both shards run because its transfer was lost with
 // the leader, and against one that neither of them runs.
 TEST_CASE("a transfer that was not stored leaves the task in its shard") {
--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -227,6 +227,9 @@
 /// other shards are to run.
 struct ReservePlacesRequest {
   std::vector<TaskName> tasks;
+  /// Those of them that no worker of the asking shard could run, even if all
+  /// runs of finite length ended.
+  std::vector<TaskName> unplaceable;
 };
 
 /// The tasks for which workers are reserved.
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -217,6 +217,7 @@
 template <typename Visitor>
 void Fields(Visitor& visit, MaybeConst<ReservePlacesRequest> auto& request) {
   visit("tasks", request.tasks);
+  ListField(visit, "unplaceable", request.unplaceable);
 }
 
 template <typename Visitor>
--- a/gypsumfall/scheduler/dispatch_service_jobs.cc
+++ b/gypsumfall/scheduler/dispatch_service_jobs.cc
@@ -201,17 +201,29 @@
   RunCycleSoon();
 }
 
-std::vector<TaskName> DispatchService::TasksToTransfer(ShardId other,
-                                                       std::size_t limit) {
-  return dispatcher_->TasksToTransfer(other, context_.Now(), limit);
+ReservePlacesRequest DispatchService::TasksToTransfer(ShardId other,
+                                                      std::size_t limit) {
+  const Time now = context_.Now();
+  ReservePlacesRequest request{
+      .tasks = dispatcher_->TasksToTransfer(other, now, limit),
+      .unplaceable = {}};
+  for (const TaskName& task : request.tasks) {
+    if (dispatcher_->IsUnplaceable(task, now))
+      request.unplaceable.push_back(task);
+  }
+  return request;
 }
 
 ReservePlacesReply DispatchService::ReservePlaces(
     const ReservePlacesRequest& request) {
+  const std::set<TaskName> unplaceable(request.unplaceable.begin(),
+                                       request.unplaceable.end());
   ReservePlacesReply reply;
   for (const TaskName& task : request.tasks) {
-    if (dispatcher_->ReservePlace(task, context_.Now()))
+    if (dispatcher_->ReservePlace(task, context_.Now(),
+                                  unplaceable.contains(task))) {
       reply.reserved.push_back(task);
+    }
   }
   return reply;
 }
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -53,7 +53,7 @@
   /// @return at most `limit` tasks that another shard should run, because they
   ///   find no worker here. Must be called only while scheduling, like
   ///   `ReservePlaces`.
-  std::vector<TaskName> TasksToTransfer(ShardId other, std::size_t limit);
+  ReservePlacesRequest TasksToTransfer(ShardId other, std::size_t limit);
   /// Reserves workers for tasks of other shards.
   ReservePlacesReply ReservePlaces(const ReservePlacesRequest& request);
   /// Gives tasks to a shard that has reserved workers for them.
--- a/gypsumfall/scheduler/transfer_service.cc
+++ b/gypsumfall/scheduler/transfer_service.cc
@@ -59,13 +59,13 @@
 void TransferService::AskNextShard(Shard& shard, Search& search) {
   Shard& other_shard = NextShard(shard, search);
   const ShardId other = other_shard.scope.id;
-  const std::vector<TaskName> tasks =
+  const ReservePlacesRequest request =
       shard.dispatch.TasksToTransfer(other, kMaxTasksPerRequest);
-  if (tasks.empty()) return;
+  if (request.tasks.empty()) return;
   Advance(search);
   search.pending = true;
   peers_->ReservePlaces(
-      other_shard, {.tasks = tasks}, kRequestTimeout,
+      other_shard, request, kRequestTimeout,
       [this, &shard, &search, other](Result<ReservePlacesReply> reply) {
         search.pending = false;
         if (!reply) {
