Share the random faults of the simulations of transfers and moves

Both simulations had the same shard faults and the same loop over seeds; these now stand in internal/interleaving.h. No change of behaviour in the product.

--- a/gypsumfall/dispatch/dispatcher_moves.cc
+++ b/gypsumfall/dispatch/dispatcher_moves.cc
@@ -29,7 +29,7 @@
 // than one lost call to a worker, after which it gets no new runs for a moment.
 constexpr Duration kWaitBeforeMove = seconds(1);
 // A row that is larger may exceed what the store takes.
-constexpr std::size_t kMaxMoveBytes = 48 * 1024;
+constexpr std::size_t kMaxMoveBytes = 49'152;
 // Time for which the end of a move is remembered: far longer than reads of it
 // can be late.
 constexpr Duration kFinishedMoveRetention = seconds(60);
@@ -175,6 +175,31 @@
   OpenDueOccurrences(job, now);
 }
 
+void Dispatcher::AddProgressTo(JobMove& move, const Job& job, int number) {
+  const std::size_t chunks = job.occurrences.at(number).chunks.size();
+  for (std::size_t chunk = 0; chunk < chunks; ++chunk) {
+    ChunkProgress progress =
+        JobTable::ProgressOf(job, {.job = job.record.id,
+                                   .occurrence = number,
+                                   .chunk = static_cast<int>(chunk)});
+    if (progress.done.any() || !progress.failures.empty())
+      move.chunks.push_back(std::move(progress));
+  }
+}
+
+void Dispatcher::AddTasksTo(JobMove& move, int number,
+                            const Occurrence& occurrence) {
+  for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+    TaskName name{move.record.id, number, static_cast<int>(s), 0};
+    occurrence.steps[s].tasks.VisitChanged([&](int index, const Task& task) {
+      name.index = index;
+      move.last_run = std::max(move.last_run, RunNumber(task.last_run));
+      if (!task.checkpoint.empty())
+        move.checkpoints.push_back({name, task.checkpoint});
+    });
+  }
+}
+
 JobMove Dispatcher::MoveOf(const Job& job) const {
   JobMove move{.record = job.record,
                .home = job.other_home.value_or(settings_.shard),
@@ -191,36 +216,30 @@
     move.record.accepted_epoch = job.moving_to->epoch;
   }
   for (const auto& [number, occurrence] : job.occurrences) {
-    for (std::size_t chunk = 0; chunk < occurrence.chunks.size(); ++chunk) {
-      ChunkProgress progress =
-          JobTable::ProgressOf(job, {.job = job.record.id,
-                                     .occurrence = number,
-                                     .chunk = static_cast<int>(chunk)});
-      if (progress.done.any() || !progress.failures.empty())
-        move.chunks.push_back(std::move(progress));
-    }
-    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-      occurrence.steps[s].tasks.VisitChanged([&](int index, const Task& task) {
-        move.last_run = std::max(move.last_run, RunNumber(task.last_run));
-        if (task.checkpoint.empty()) return;
-        move.checkpoints.push_back(
-            {{job.record.id, number, static_cast<int>(s), index},
-             task.checkpoint});
-      });
-    }
+    AddProgressTo(move, job, number);
+    AddTasksTo(move, number, occurrence);
   }
   return move;
 }
 
+Dispatcher::MovedJob& Dispatcher::NoteMove(const JobMove& move) {
+  MovedJob& moved = moved_jobs_[move.record.id];
+  moved.number = move.number;
+  moved.holder = move.to;
+  if (IsFinal(move.progress.state)) {
+    moved.state = move.progress.state;
+  } else {
+    moved.state = move.started ? JobState::kRunning : JobState::kQueued;
+  }
+  return moved;
+}
+
 void Dispatcher::OnMoveRecorded(const JobMove& move) {
   const JobId& id = move.record.id;
   Job* job = jobs_.Find(id);
   if (job == nullptr) return;
-  MovedJob& moved = moved_jobs_[id];
-  moved.number = move.number;
-  moved.holder = move.to;
+  MovedJob& moved = NoteMove(move);
   moved.has_own_row = true;
-  moved.state = move.progress.state;
   if (IsFinal(move.progress.state)) {
     // Known here until the home shard has stored the state.
     if (!IsFinal(job->visible_state)) --unstored_ended_jobs_;
@@ -228,7 +247,6 @@
     if (moved.finished) ForgetEndedElsewhere(id, moved);
     return;
   }
-  moved.state = move.started ? JobState::kRunning : JobState::kQueued;
   AddEvent("job moved to another shard", {.job = id}, move.last_run, {},
            "to shard " + std::to_string(move.to.value()));
   for (auto& [number, occurrence] : job->occurrences)
@@ -293,18 +311,14 @@
   // Only a replaced leader learns from others that it no longer holds a job.
   // It must not forget runs that exist.
   if (held != nullptr) {
-    if (!IsFinal(held->state))
+    if (!IsFinal(held->state)) {
       AddEvent("job that is held here was moved by another shard", {.job = id},
                move.last_run, {},
                "to shard " + std::to_string(move.to.value()));
+    }
     return;
   }
-  MovedJob& moved = moved_jobs_[id];
-  moved.number = move.number;
-  moved.holder = move.to;
-  moved.state = ended          ? move.progress.state
-                : move.started ? JobState::kRunning
-                               : JobState::kQueued;
+  NoteMove(move);
   if (move.to != settings_.shard) return;
   if (ended) {
     AddJobEndedElsewhere(move);
@@ -340,13 +354,8 @@
   }
   for (const auto& [id, rows] : rows_by_job) {
     const JobMove& move = *rows.latest;
-    MovedJob& moved = moved_jobs_[id];
-    moved.number = move.number;
-    moved.holder = move.to;
+    MovedJob& moved = NoteMove(move);
     moved.has_own_row = rows.own;
-    moved.state = IsFinal(move.progress.state) ? move.progress.state
-                  : move.started               ? JobState::kRunning
-                                               : JobState::kQueued;
     // The home shard removes its row once the final state is stored.
     const bool stored_here =
         move.home == settings_.shard && jobs_.Find(id) != nullptr;
--- a/gypsumfall/dispatch/dispatcher_reservations.cc
+++ b/gypsumfall/dispatch/dispatcher_reservations.cc
@@ -83,14 +83,14 @@
 void Dispatcher::ReleaseReservationsOf(Job& job) {
   for (auto& [number, occurrence] : job.occurrences) {
     for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      TaskName name{job.record.id, number, static_cast<int>(s), 0};
       std::vector<TaskName> reserved;
       occurrence.steps[s].tasks.VisitChanged([&](int index, const Task& task) {
-        if (!task.reserved_on.empty())
-          reserved.push_back(
-              {job.record.id, number, static_cast<int>(s), index});
+        name.index = index;
+        if (!task.reserved_on.empty()) reserved.push_back(name);
       });
-      for (const TaskName& name : reserved)
-        ReleaseReservationOf(name, *jobs_.EditTask(name));
+      for (const TaskName& task : reserved)
+        ReleaseReservationOf(task, *jobs_.EditTask(task));
     }
   }
 }
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -557,10 +557,17 @@
   /// Schedules a job again whose move was not stored.
   void CancelMove(Job& job, Time now);
   JobMove MoveOf(const Job& job) const;
+  /// Add the progress of an occurrence, and the checkpoints and run numbers of
+  /// its tasks, to a move.
+  static void AddProgressTo(JobMove& move, const Job& job, int occurrence);
+  static void AddTasksTo(JobMove& move, int number,
+                         const Occurrence& occurrence);
   /// Adds a job that another shard has given to this one.
   Job* AddMovedJob(const JobMove& move, Time now, WallTime wall_now);
   /// Stores the final state of a job that ended in another shard.
   void AddJobEndedElsewhere(const JobMove& move);
+  /// Notes that a move is the latest one of its job.
+  MovedJob& NoteMove(const JobMove& move);
   void OnMoveRecorded(const JobMove& move);
   void OnOwnMoveRemoved(const JobId& id);
   /// Removes a job of another home shard, which has stored its final state.
--- a/gypsumfall/dispatch/job_moves_test.cc
+++ b/gypsumfall/dispatch/job_moves_test.cc
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "gypsumfall/dispatch/internal/simulated_shards.h"
+#include "gypsumfall/dispatch/internal/interleaving.h"
 
 namespace gypsumfall {
 namespace {
@@ -41,9 +41,12 @@
   return spec;
 }
 
-const JobId kJob("job");
+/// @return the id of the job that the tests are about.
+JobId TestedJob() { return JobId("job"); }
 
-TaskName TaskAt(int step, int index = 0) { return {kJob, 0, step, index}; }
+TaskName TaskAt(int step, int index = 0) {
+  return {TestedJob(), 0, step, index};
+}
 
 /// Shards of which the first one is the home of the job.
 class Shards : public SimulatedShards {
@@ -51,15 +54,15 @@
   explicit Shards(int count = 2) : SimulatedShards(count) {}
 
   void SubmitJob(const JobSpec& spec, int max_attempts = 2) {
-    SubmitWhole(0, kJob.str(), spec, max_attempts);
+    SubmitWhole(0, TestedJob().str(), spec, max_attempts);
   }
-  JobState State() { return StateOf(kJob).state; }
+  JobState State() { return StateOf(TestedJob()).state; }
 
   /// Checks that the job is completed, that its tasks started once, and that no
   /// row of a move is left.
   void CheckCompletedOnce(const JobSpec& spec) {
     CHECK(State() == JobState::kCompleted);
-    CHECK(shard(0).HasStoredEnd(kJob));
+    CHECK(shard(0).HasStoredEnd(TestedJob()));
     for (std::size_t s = 0; s < spec.steps.size(); ++s) {
       for (int i = 0; i < spec.steps[s].task_count; ++i)
         CHECK(StartsOf(TaskAt(static_cast<int>(s), i)) == 1);
@@ -70,9 +73,9 @@
   void CheckNoMoveIsLeft() {
     CHECK(StoredMoves().empty());
     for (int i = 0; i < shard_count(); ++i) {
-      CHECK_FALSE(shard(i).stored_progress.contains(kJob));
+      CHECK_FALSE(shard(i).stored_progress.contains(TestedJob()));
       for (const auto& [row, chunk] : shard(i).stored_chunks)
-        CHECK(row.job != kJob);
+        CHECK(row.job != TestedJob());
     }
     CHECK(Violations().empty());
   }
@@ -220,7 +223,7 @@
   CHECK(shards.shard(1).RunningNow(TaskAt(1, 0)) == 1);
   CHECK(shards.shard(1).RunningNow(TaskAt(1, 1)) == 1);
   CHECK(shards.State() == JobState::kRunning);
-  CHECK(shards.CancelWhole(kJob));
+  CHECK(shards.CancelWhole(TestedJob()));
   shards.Advance(seconds(1));
   CHECK(shards.State() == JobState::kCancelled);
   CHECK(shards.RunningNow(TaskAt(1, 0)) + shards.RunningNow(TaskAt(1, 1)) == 0);
@@ -253,7 +256,8 @@
   }
   shards.CheckCompletedOnce(spec);
   if (repeated) {
-    for (int s = 0; s < 4; ++s) CHECK(shards.StartsOf({kJob, 1, s, 0}) == 1);
+    for (int s = 0; s < 4; ++s)
+      CHECK(shards.StartsOf({TestedJob(), 1, s, 0}) == 1);
   }
 }
 
@@ -335,7 +339,8 @@
     offers_jobs = false;
     Advance(milliseconds(1500));
     const Epoch epoch = shard(1).dispatcher().epoch();
-    REQUIRE(shard(0).dispatcher().MoveJob(kJob, ShardId(1), epoch, now()));
+    REQUIRE(
+        shard(0).dispatcher().MoveJob(TestedJob(), ShardId(1), epoch, now()));
   }
 
   JobSpec spec = SpecOf({LabelledStep(2, 1, "b")});
@@ -350,8 +355,8 @@
   shards.shard(0).AddWorker(5, Cores(8), "b");
   shards.Advance(milliseconds(500));
   CHECK(shards.StartsOf(TaskAt(0)) == 0);
-  CHECK(shards.shard(0).dispatcher().IsMoving(kJob));
-  CHECK_FALSE(shards.CancelWhole(kJob));
+  CHECK(shards.shard(0).dispatcher().IsMoving(TestedJob()));
+  CHECK_FALSE(shards.CancelWhole(TestedJob()));
   shards.TakeOver(0);
   shards.shard(0).store_available = true;
   shards.Advance(seconds(8));
@@ -371,10 +376,10 @@
   shards.shard(0).AddWorker(5, Cores(8), "b");
   shards.Advance(seconds(8));
   CHECK(shards.StartsOf(TaskAt(0)) == 0);
-  CHECK(shards.StateOf(kJob).known);
+  CHECK(shards.StateOf(TestedJob()).known);
   // The job is still in the table that the leader reads for unreported jobs.
   shards.shard(0).dispatcher().Submit(
-      shards.shard(0).Record(kJob.str(), shards.spec), shards.now(),
+      shards.shard(0).Record(TestedJob().str(), shards.spec), shards.now(),
       shards.shard(0).WallNow());
   shards.Advance(seconds(1));
   CHECK(shards.StartsOf(TaskAt(0)) == 0);
@@ -396,7 +401,7 @@
   shards.Advance(seconds(4));
   REQUIRE(shards.StartsOf(TaskAt(0)) == 1);
   // Only the shard that ran the job knows of the end.
-  CHECK_FALSE(shards.shard(0).HasStoredEnd(kJob));
+  CHECK_FALSE(shards.shard(0).HasStoredEnd(TestedJob()));
   CHECK(shards.State() == JobState::kCompleted);
   SECTION("after a takeover there") { shards.TakeOver(1); }
   SECTION("after a takeover at home") { shards.TakeOver(0); }
@@ -409,7 +414,7 @@
     shards.shard(0).store_available = false;
     shards.SetReadsChanges(0, true);
     shards.Advance(seconds(1));
-    CHECK_FALSE(shards.shard(0).HasStoredEnd(kJob));
+    CHECK_FALSE(shards.shard(0).HasStoredEnd(TestedJob()));
     shards.TakeOver(0);
     shards.shard(0).store_available = true;
   }
@@ -471,8 +476,8 @@
   shards.offers_jobs = false;
   shards.Advance(seconds(2));
   Dispatcher& giver = shards.shard(0).dispatcher();
-  CHECK_FALSE(giver.MoveJob(kJob, ShardId(1), Epoch(1), shards.now()));
-  CHECK_FALSE(giver.IsMoving(kJob));
+  CHECK_FALSE(giver.MoveJob(TestedJob(), ShardId(1), Epoch(1), shards.now()));
+  CHECK_FALSE(giver.IsMoving(TestedJob()));
   CHECK(giver.JobsToMove(ShardId(1), shards.now(), 10).empty());
   CHECK(shards.State() == JobState::kQueued);
 }
@@ -483,23 +488,15 @@
 constexpr Duration kRecoveryTime = seconds(30);
 constexpr Duration kFaultTime = seconds(30);
 
-/// What happened in a simulation.
-struct InterleavingReport {
-  int faults = 0;
-  int takeovers = 0;
-  int moves = 0;
-  std::vector<std::string> violations;
-};
-
 // Labels of the workers. Each shard lacks one of them, and has one worker with
 // each of the others, so that it lacks a further one while a worker is lost.
 constexpr int kLabels = 4;
 
 /// Random faults in two or three shards. The steps of the jobs require labels.
-class Interleaving {
+class Interleaving : RandomShards {
  public:
   explicit Interleaving(std::uint64_t seed)
-      : random_(seed), shards_(static_cast<int>(2 + Below(2))) {
+      : RandomShards(seed, {.read = 15, .takeover = 700}) {
     for (int i = 0; i < shards_.shard_count(); ++i) {
       SimulatedCluster& cluster = shards_.shard(i);
       for (int k = 0; k < 3; ++k)
@@ -533,7 +530,7 @@
       CheckDone();
     }
     if (!Failed()) CheckAllJobsEnded();
-    report_.moves = shards_.move_count();
+    report_.handovers = shards_.move_count();
     const std::vector<std::string> found = shards_.Violations();
     report_.violations.insert(report_.violations.end(), found.begin(),
                               found.end());
@@ -544,8 +541,6 @@
   static std::string LabelOf(int number) {
     return "l" + std::to_string(number);
   }
-  std::uint64_t Below(std::uint64_t bound) { return random_() % bound; }
-  bool OneIn(std::uint64_t count) { return Below(count) == 0; }
   bool Failed() const {
     return !report_.violations.empty() || !shards_.Violations().empty();
   }
@@ -563,23 +558,6 @@
     for (int i = 0; i < shards_.shard_count(); ++i) AddShardFaults(i);
   }
 
-  void AddShardFaults(int index) {
-    SimulatedCluster& cluster = shards_.shard(index);
-    if (shards_.now() >= store_available_at_[index])
-      cluster.store_available = true;
-    if (OneIn(400)) {
-      cluster.store_available = false;
-      store_available_at_[index] = shards_.now() + milliseconds(Below(3000));
-    }
-    if (OneIn(15)) shards_.ReadChanges(index);
-    if (OneIn(10) && shards_.change_count() > 0)
-      shards_.ReadAgain(index, Below(shards_.change_count()));
-    if (!OneIn(700)) return;
-    ++report_.takeovers;
-    if (OneIn(2)) cluster.StoreRecords();
-    shards_.TakeOver(index);
-  }
-
   void SubmitJob() {
     const std::string id = "job" + std::to_string(specs_.size());
     std::vector<StepSpec> steps;
@@ -630,10 +608,7 @@
   void EndFaults() {
     for (const auto& [worker, heals_at] : lost_) Heal(worker);
     lost_.clear();
-    for (int i = 0; i < shards_.shard_count(); ++i) {
-      shards_.shard(i).store_available = true;
-      shards_.SetReadsChanges(i, true);
-    }
+    EndShardFaults();
   }
 
   /// Checks that no task of a job starts after the job was shown as completed.
@@ -676,34 +651,23 @@
       report_.violations.emplace_back("rows of moves are left");
   }
 
-  std::mt19937_64 random_;
-  SimulatedShards shards_;
   std::map<JobId, JobSpec> specs_;
   std::set<JobId> cancelled_;
   std::map<TaskName, int> runs_;
   std::map<JobId, int> runs_when_completed_;
   std::map<std::pair<int, int>, Time> lost_;
-  std::map<int, Time> store_available_at_;
-  InterleavingReport report_;
 };
 
 void CheckSeeds(std::uint64_t seeds) {
-  InterleavingReport total;
-  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    const InterleavingReport report = Interleaving(seed).Run();
-    total.faults += report.faults;
-    total.takeovers += report.takeovers;
-    total.moves += report.moves;
-    for (const std::string& violation : report.violations)
-      FAIL_CHECK("seed " << seed << ": " << violation);
-  }
+  const InterleavingReport total = RunSeeds<Interleaving>(seeds);
+  for (const std::string& violation : total.violations) FAIL_CHECK(violation);
   WARN(seeds << " seeds, " << total.faults << " faults, " << total.takeovers
-             << " takeovers, " << total.moves << " moves");
+             << " takeovers, " << total.handovers << " moves");
   // Guards against a simulation without faults, takeovers or moves.
   const int count = static_cast<int>(seeds);
   CHECK(total.faults > 5 * count);
   CHECK(total.takeovers > 2 * count);
-  CHECK(total.moves > 5 * count);
+  CHECK(total.handovers > 5 * count);
 }
 
 // Guards against a sequence of faults after which a job runs twice, ends twice
--- a/gypsumfall/dispatch/transfers_test.cc
+++ b/gypsumfall/dispatch/transfers_test.cc
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "gypsumfall/dispatch/internal/simulated_shards.h"
+#include "gypsumfall/dispatch/internal/interleaving.h"
 
 namespace gypsumfall {
 namespace {
@@ -353,19 +353,10 @@
 constexpr Duration kRecoveryTime = milliseconds(15'300);
 constexpr Duration kFaultTime = seconds(40);
 
-/// What happened in a simulation.
-struct InterleavingReport {
-  int faults = 0;
-  int takeovers = 0;
-  int transfers = 0;
-  std::vector<std::string> violations;
-};
-
 /// Random faults in two or three shards whose capacity differs.
-class Interleaving {
+class Interleaving : RandomShards {
  public:
-  explicit Interleaving(std::uint64_t seed)
-      : random_(seed), shards_(static_cast<int>(2 + Below(2))) {
+  explicit Interleaving(std::uint64_t seed) : RandomShards(seed, {}) {
     for (int i = 0; i < shards_.shard_count(); ++i) {
       SimulatedCluster& cluster = shards_.shard(i);
       cluster.run_of = [](const TaskName& task, int) {
@@ -400,7 +391,7 @@
       shards_.Advance(kSimulationStep);
     report_.violations = shards_.Violations();
     if (report_.violations.empty()) CheckAllTasksRun();
-    report_.transfers = shards_.transfer_count();
+    report_.handovers = shards_.transfer_count();
     return report_;
   }
 
@@ -411,12 +402,6 @@
     Time heals_at = Time::max();
   };
 
-  std::uint64_t Below(std::uint64_t bound) { return random_() % bound; }
-  bool OneIn(std::uint64_t count) { return Below(count) == 0; }
-  Duration UpTo(Duration longest) {
-    return Duration(static_cast<std::int64_t>(
-        Below(static_cast<std::uint64_t>(longest.count()))));
-  }
   bool Failed() const { return !shards_.Violations().empty(); }
 
   SimulatedWorker& At(const WorkerRef& ref) {
@@ -451,23 +436,6 @@
     for (int i = 0; i < shards_.shard_count(); ++i) AddShardFaults(i);
   }
 
-  void AddShardFaults(int index) {
-    SimulatedCluster& cluster = shards_.shard(index);
-    if (shards_.now() >= store_available_at_[index])
-      cluster.store_available = true;
-    if (OneIn(400)) {
-      cluster.store_available = false;
-      store_available_at_[index] = shards_.now() + UpTo(seconds(3));
-    }
-    if (OneIn(20)) shards_.ReadChanges(index);
-    if (OneIn(10) && shards_.change_count() > 0)
-      shards_.ReadAgain(index, Below(shards_.change_count()));
-    if (!OneIn(1000)) return;
-    ++report_.takeovers;
-    if (OneIn(2)) cluster.StoreRecords();
-    shards_.TakeOver(index);
-  }
-
   void LoseWorker() {
     WorkerRef& ref = workers_[Below(workers_.size())];
     if (ref.heals_at != Time::max()) return;
@@ -530,10 +498,7 @@
 
   void EndFaults() {
     for (const WorkerRef& ref : workers_) Heal(ref);
-    for (int i = 0; i < shards_.shard_count(); ++i) {
-      shards_.shard(i).store_available = true;
-      shards_.SetReadsChanges(i, true);
-    }
+    EndShardFaults();
   }
 
   void CheckAllTasksRun() {
@@ -563,34 +528,23 @@
                        });
   }
 
-  std::mt19937_64 random_;
-  SimulatedShards shards_;
   std::vector<WorkerRef> workers_;
   int capacity_ = 0;
   std::map<JobId, JobSpec> specs_;
   std::set<JobId> cancelled_;
-  std::map<int, Time> store_available_at_;
   int next_short_job_ = 0;
-  InterleavingReport report_;
 };
 
 void CheckSeeds(std::uint64_t seeds) {
-  InterleavingReport total;
-  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    const InterleavingReport report = Interleaving(seed).Run();
-    total.faults += report.faults;
-    total.takeovers += report.takeovers;
-    total.transfers += report.transfers;
-    for (const std::string& violation : report.violations)
-      FAIL_CHECK("seed " << seed << ": " << violation);
-  }
+  const InterleavingReport total = RunSeeds<Interleaving>(seeds);
+  for (const std::string& violation : total.violations) FAIL_CHECK(violation);
   WARN(seeds << " seeds, " << total.faults << " faults, " << total.takeovers
-             << " takeovers, " << total.transfers << " transfers");
+             << " takeovers, " << total.handovers << " transfers");
   // Guards against a simulation without faults, takeovers or transfers.
   const int count = static_cast<int>(seeds);
   CHECK(total.faults > 10 * count);
   CHECK(total.takeovers > 5 * count);
-  CHECK(total.transfers > 5 * count);
+  CHECK(total.handovers > 5 * count);
 }
 
 // Guards against a sequence of faults after which a task runs twice, on a full
--- a/gypsumfall/jobs/job_rules.cc
+++ b/gypsumfall/jobs/job_rules.cc
@@ -70,11 +70,11 @@
 }
 
 bool IsSliceable(const JobSpec& spec) {
-  return std::all_of(
-      spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) {
-        return step.long_running && step.after.empty() && !step.gang &&
-               !step.same_rack;
-      });
+  return std::all_of(spec.steps.begin(), spec.steps.end(),
+                     [](const StepSpec& step) {
+                       return step.long_running && step.after.empty() &&
+                              !step.gang && !step.same_rack;
+                     });
 }
 
 std::vector<Duration> RemainingCriticalPaths(const JobSpec& spec) {
--- a/gypsumfall/scheduler/job_moves_test.cc
+++ b/gypsumfall/scheduler/job_moves_test.cc
@@ -37,7 +37,7 @@
   JobId JobOf(const std::string& prefix) const {
     const ShardLayout& layout = *hosts[0]->layout().layout();
     for (int i = 0;; ++i) {
-      const JobId id(prefix + std::to_string(i) + "-on-rack1");
+      JobId id(prefix + std::to_string(i) + "-on-rack1");
       if (ShardOf(layout, id) == giver) return id;
     }
   }
