Bound what jobs cost that no shard can run

Each request offered the first 64 jobs after a search over all waiting ones, twice a second for as long as they wait: 13 KB a request with 64 jobs of one step (scratch measurement), above the 8 KB/s of control that a daemon may use.

A round now continues behind the latest offer and ends after 64 searches, and a job that all other shards were asked about is offered again after 3 s. The bound check for running tasks comes before the search.

New tests of the codec of moves and of replies that name a shard.

--- a/gypsumfall/dispatch/dispatcher_moves.cc
+++ b/gypsumfall/dispatch/dispatcher_moves.cc
@@ -28,6 +28,9 @@
 // Time for which a step has found no worker before its job is offered. Longer
 // than one lost call to a worker, after which it gets no new runs for a moment.
 constexpr Duration kWaitBeforeMove = seconds(1);
+// Time after which a job that no shard wanted is offered again. Bounds what
+// jobs cost that no worker can run.
+constexpr Duration kOfferPause = seconds(3);
 // A row that is larger may exceed what the store takes.
 constexpr std::size_t kMaxMoveBytes = 49'152;
 // Time for which the end of a move is remembered: far longer than reads of it
@@ -87,39 +90,47 @@
     const TaskName name{id, ref->occurrence, ref->step, 0};
     const Step* step = job->FindStep(name);
     if (step == nullptr || now < step->ready_since + kWaitBeforeMove) continue;
+    if (HasBoundRun(*job)) return nullptr;
     if (HasPlacesFor(job->record.terms, job->spec_of(name), now)) continue;
-    if (HasBoundRun(*job) || HasUnexpectedRunOf(id)) return nullptr;
-    return &job->spec_of(name);
+    return HasUnexpectedRunOf(id) ? nullptr : &job->spec_of(name);
   }
   return nullptr;
 }
 
 std::vector<JobOffer> Dispatcher::JobsToMove(ShardId other, Time now,
                                              std::size_t limit) {
+  if (settings_.other_shards == 0) return {};
   constexpr int kLast = std::numeric_limits<int>::max();
   std::erase_if(moved_jobs_, [&](const auto& entry) {
     const MovedJob& moved = entry.second;
     return moved.finished && !moved.has_own_row &&
            now >= *moved.finished + kFinishedMoveRetention;
   });
+  // Continues behind the latest offer, and ends there after one round. Only
+  // jobs that are offered cost a search over all workers.
+  JobId& last_offered = last_offered_job_[other];
+  const JobId stop_after = last_offered;
   std::vector<JobOffer> offers;
-  for (auto next = ready_steps_.begin(); next != ready_steps_.end();) {
+  bool wrapped = false;
+  auto next = ready_steps_.upper_bound({stop_after, kLast, kLast});
+  while (offers.size() < limit) {
+    if (next == ready_steps_.end()) {
+      if (std::exchange(wrapped, true)) break;
+      next = ready_steps_.begin();
+      continue;
+    }
     const JobId id = next->job;
+    if (wrapped && stop_after < id) break;
     next = ready_steps_.upper_bound({id, kLast, kLast});
+    Job* job = jobs_.Find(id);
+    if (job == nullptr || now < job->next_offer) continue;
     const StepSpec* step = FindUnplaceableStep(id, now);
     if (step == nullptr) continue;
-    offers.push_back(
-        {.job = id, .terms = jobs_.Find(id)->record.terms, .step = *step});
+    last_offered = id;
+    if (++job->offers % settings_.other_shards == 0)
+      job->next_offer = now + kOfferPause;
+    offers.push_back({.job = id, .terms = job->record.terms, .step = *step});
   }
-  JobId& last_offered = last_offered_job_[other];
-  std::rotate(offers.begin(),
-              std::upper_bound(offers.begin(), offers.end(), last_offered,
-                               [](const JobId& last, const JobOffer& offer) {
-                                 return last < offer.job;
-                               }),
-              offers.end());
-  if (offers.size() > limit) offers.resize(limit);
-  if (!offers.empty()) last_offered = offers.back().job;
   return offers;
 }
 
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -507,7 +507,7 @@
                                   const Worker& worker, Time now) {
   const StepSpec& spec = job.spec_of(name);
   const Task& task = *jobs_.FindTask(name);
-  return settings_.has_other_shards && job.slice.IsWhole() && !job.immovable &&
+  return settings_.other_shards > 0 && job.slice.IsWhole() && !job.immovable &&
          now < task.ready_since + kWaitForOtherShard &&
          FailsRuns(worker, now) && !HasBoundRun(job) &&
          !HasPlacesFor(job.record.terms, spec, now);
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -27,8 +27,8 @@
 struct DispatchSettings {
   /// Shard whose workers and tasks are scheduled.
   ShardId shard;
-  /// Whether there are other shards, to which jobs may be moved.
-  bool has_other_shards = false;
+  /// Number of other shards, to which jobs may be moved.
+  std::uint64_t other_shards = 0;
   /// Longest lease that workers accept.
   Duration max_lease = seconds(6);
   /// Longest time that a predecessor may have sent orders after it was
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -99,6 +99,10 @@
     Epoch epoch;
   };
   std::optional<Destination> moving_to;
+  /// Number of offers of the job to other shards, and the time before which it
+  /// is not offered again.
+  std::uint64_t offers = 0;
+  Time next_offer{};
   /// The store has rejected a move of the job, or would.
   bool immovable = false;
   /// Home shard, if that is another one.
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -88,13 +88,13 @@
                             Resources capacity = {MilliCores(8000),
                                                   MebiBytes(8000),
                                                   Accelerators(0)},
-                            ShardId shard = {}, bool has_other_shards = false)
+                            ShardId shard = {}, std::uint64_t other_shards = 0)
       : shard_(shard),
-        has_other_shards_(has_other_shards),
-        dispatcher_(std::in_place,
-                    DispatchSettings{.shard = shard,
-                                     .has_other_shards = has_other_shards},
-                    Epoch(1), kSimulationStart) {
+        other_shards_(other_shards),
+        dispatcher_(
+            std::in_place,
+            DispatchSettings{.shard = shard, .other_shards = other_shards},
+            Epoch(1), kSimulationStart) {
     for (int i = 0; i < worker_count; ++i) AddWorker(i, capacity);
     Advance(milliseconds(100));
   }
@@ -164,7 +164,7 @@
     unanswered_batch_.reset();
     dispatcher_.emplace(
         DispatchSettings{.shard = shard_,
-                         .has_other_shards = has_other_shards_,
+                         .other_shards = other_shards_,
                          .predecessor_slack = predecessor_slack},
         epoch, now_);
     for (const auto& [id, ended] : stored_ended_) {
@@ -545,7 +545,7 @@
 
   Time now_ = kSimulationStart;
   ShardId shard_;
-  bool has_other_shards_;
+  std::uint64_t other_shards_;
   std::optional<Dispatcher> dispatcher_;
   std::map<WorkerId, SimulatedWorker> workers_;
   std::vector<std::pair<LeaseOrder, Time>> open_lease_calls_;
--- a/gypsumfall/dispatch/internal/simulated_shards.h
+++ b/gypsumfall/dispatch/internal/simulated_shards.h
@@ -28,7 +28,8 @@
   explicit SimulatedShards(int shard_count) {
     for (int i = 0; i < shard_count; ++i) {
       const ShardId shard(static_cast<std::uint64_t>(i));
-      shards_.push_back(std::make_unique<Shard>(shard));
+      shards_.push_back(std::make_unique<Shard>(
+          shard, static_cast<std::uint64_t>(shard_count - 1)));
       shards_.back()->cluster.on_transfer_stored =
           [this](const TaskTransfer& transfer) {
             changes_.emplace_back(transfer);
@@ -297,7 +298,8 @@
   };
 
   struct Shard {
-    explicit Shard(ShardId id) : cluster(0, {}, id, true) {}
+    Shard(ShardId id, std::uint64_t other_shards)
+        : cluster(0, {}, id, other_shards) {}
 
     SimulatedCluster cluster;
     bool reads_changes = true;
--- a/gypsumfall/jobs/jobs_test.cc
+++ b/gypsumfall/jobs/jobs_test.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <optional>
+#include <vector>
 
 namespace gypsumfall {
 namespace {
@@ -53,6 +56,65 @@
   CHECK(step.declared_run_time == milliseconds(700));
 }
 
+// Guards against a part of a job's state that is lost when the job moves.
+TEST_CASE("a stored move decodes to the moved job") {
+  const JobId id("0123456789abcdef");
+  JobMove move{.record = {.id = id, .queue = QueueId("quotes")},
+               .home = ShardId(0),
+               .from = ShardId(2),
+               .to = ShardId(1),
+               .number = 3,
+               .last_run = RunNumber(2051),
+               .started = true,
+               .progress = {.id = id, .queue = QueueId("quotes")},
+               .chunks = {},
+               .checkpoints = {{{id, 0, 1, 1}, Checkpoint("c1")}}};
+  move.record.accepted_epoch = Epoch(7);
+  move.record.spec = TwoStepSpec();
+  move.progress.completed.resize(2);
+  move.progress.completed.set(1);
+  ChunkProgress chunk{.row = {.job = id, .occurrence = 1, .chunk = 0}};
+  chunk.done.resize(5);
+  chunk.done.set(2);
+  chunk.failures.push_back({.task = 4, .forgotten = 1, .runs = {5, 9}});
+  move.chunks.push_back(chunk);
+  const Result<JobMove> decoded = Decode<JobMove>(Encode(move));
+  REQUIRE(decoded);
+  CHECK(decoded->home == move.home);
+  CHECK(decoded->from == move.from);
+  CHECK(decoded->to == move.to);
+  CHECK(decoded->number == 3);
+  CHECK(decoded->last_run == RunNumber(2051));
+  CHECK(decoded->started);
+  CHECK(decoded->record.accepted_epoch == Epoch(7));
+  CHECK(decoded->record.spec.steps.size() == 2);
+  // Leading zeros are not kept.
+  CHECK(decoded->progress.completed.count() == 1);
+  CHECK(decoded->progress.completed.find_first() == 1);
+  REQUIRE(decoded->chunks.size() == 1);
+  CHECK(decoded->chunks[0].row == chunk.row);
+  CHECK(decoded->chunks[0].done.count() == 1);
+  CHECK(decoded->chunks[0].done.find_first() == 2);
+  REQUIRE(decoded->chunks[0].failures.size() == 1);
+  CHECK(decoded->chunks[0].failures[0].runs ==
+        std::vector<std::uint64_t>{5, 9});
+  REQUIRE(decoded->checkpoints.size() == 1);
+  CHECK(decoded->checkpoints[0].task == TaskName{id, 0, 1, 1});
+  CHECK(decoded->checkpoints[0].checkpoint == Checkpoint("c1"));
+}
+
+// Guards against shard 0, which is a valid one, taken for no shard.
+TEST_CASE("a state tells whether the job was moved") {
+  for (const std::optional<ShardId> shard :
+       {std::optional<ShardId>(), std::optional(ShardId(0)),
+        std::optional(ShardId(3))}) {
+    const auto decoded = Decode<JobStateReply>(
+        Encode(JobStateReply{true, JobState::kRunning, shard}));
+    REQUIRE(decoded);
+    CHECK(decoded->moved_to == shard);
+  }
+}
+
 TEST_CASE("progress of a job decodes, with and without failures") {
   JobProgress progress{
       .id = JobId("a"),
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -143,7 +143,7 @@
   const SchedulerTimings& timings = context_.settings.timings;
   const DispatchSettings settings{
       .shard = scope_.id,
-      .has_other_shards = layout_.layout()->shard_count > 1,
+      .other_shards = layout_.layout()->shard_count - 1,
       .max_lease = timings.max_worker_lease,
       .predecessor_slack = elector_.lease().predecessor_slack(),
       .ended_retention = timings.ended_retention,
