--- a/gypsumfall/settings/internal/scheduler_settings.h
+++ b/gypsumfall/settings/internal/scheduler_settings.h
@@ -38,6 +38,9 @@
   Duration ended_retention = std::chrono::minutes(10);
   /// Interval at which workers renew their entry in the worker list.
   Duration worker_heartbeat = milliseconds(1000);
+  /// Time over which the workers of a data centre return to service after its
+  /// evacuation has ended.
+  Duration evacuation_return = seconds(3);
 };
 
 /// Section [scheduling] of a scheduling host.
@@ -52,12 +55,31 @@
   ByteCount max_job_memory{64 << 20};
 };
 
+/// Section [overload] of a scheduling host: decisions that a deployment asks
+/// for when its work needs more room than there is, or when demand and workers
+/// are uneven. Without them, work is ordered by objective and stays in its
+/// shard.
+struct OverloadSettings {
+  /// Waiting steps are ordered by what their callers lose by waiting.
+  bool order_by_loss = false;
+  /// Jobs that cannot end in time by the estimated load are refused.
+  bool load_admission = false;
+  /// Waiting jobs move to the shard that starts them sooner.
+  bool job_balancing = false;
+  /// A host that the table service turns away has another host store its jobs.
+  bool acceptance_relay = false;
+  /// Leaders store what they have learned about interference, and read what
+  /// others have stored.
+  bool share_interference = false;
+};
+
 /// All settings of one scheduling host process.
 struct SchedulerSettings {
   SchedulerHostSettings host;
   SchedulerPlatformSettings platform;
   SchedulerTimings timings;
   SchedulingSettings scheduling;
+  OverloadSettings overload;
   LimitSettings limits;
   LoggingSettings logging;
 };
--- a/gypsumfall/settings/scheduler_settings.cc
+++ b/gypsumfall/settings/scheduler_settings.cc
@@ -22,6 +22,7 @@
 constexpr Range<double> kProcessorShareRange{0.001, 1024};
 constexpr Range<Duration> kEndedRetentionRange{minutes(1), hours(24)};
 constexpr Range<Duration> kHeartbeatRange{milliseconds(100), minutes(1)};
+constexpr Range<Duration> kEvacuationReturnRange{Duration{0}, minutes(10)};
 constexpr Range<std::int64_t> kWorkersPerProcessorRange{1, 100'000};
 constexpr Range<ByteCount> kJobMemoryRange{ByteCount(64 << 10),
                                            ByteCount(std::int64_t{1} << 40)};
@@ -53,7 +54,9 @@
           MakeField("ended_retention", kOptional, timings.ended_retention,
                     Within(ParseDuration, kEndedRetentionRange)),
           MakeField("worker_heartbeat", kOptional, timings.worker_heartbeat,
-                    Within(ParseDuration, kHeartbeatRange))};
+                    Within(ParseDuration, kHeartbeatRange)),
+          MakeField("evacuation_return", kOptional, timings.evacuation_return,
+                    Within(ParseDuration, kEvacuationReturnRange))};
 }
 
 std::vector<Field> Fields(SchedulingSettings& scheduling) {
@@ -64,6 +67,18 @@
                     Within(ParseByteCount, kJobMemoryRange))};
 }
 
+std::vector<Field> Fields(OverloadSettings& overload) {
+  return {
+      MakeField("order_by_loss", kOptional, overload.order_by_loss, ParseBool),
+      MakeField("load_admission", kOptional, overload.load_admission,
+                ParseBool),
+      MakeField("job_balancing", kOptional, overload.job_balancing, ParseBool),
+      MakeField("acceptance_relay", kOptional, overload.acceptance_relay,
+                ParseBool),
+      MakeField("share_interference", kOptional, overload.share_interference,
+                ParseBool)};
+}
+
 }  // namespace
 
 Parsed<SchedulerSettings> ParseSchedulerSettings(
@@ -85,6 +100,7 @@
       make_rule("platform", settings.platform),
       make_rule("timings", settings.timings),
       make_rule("scheduling", settings.scheduling),
+      make_rule("overload", settings.overload),
       make_rule("limits", settings.limits),
       make_rule("logging", settings.logging)};
   ReadSections(document, rules, diagnostics);
