Start no task on workers of closed data centres

Cause: the dispatcher did not know which data centres are closed. Change: a worker keeps the time in which tasks may start on it, and AcceptsWork asks for it, so that placement, gangs, reservations and CountPlaces follow. Committed reservations are dropped and no place is kept there. The status of a shard counts the workers held back.

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -292,6 +292,8 @@
       status.capacity = MilliCores(status.capacity.value() + capacity.value());
       status.largest_free = std::max(status.largest_free, free);
     }
+    if (worker.listed && !dispatch_internal::IsOpen(worker, now))
+      ++status.held_back_workers;
     if (!worker.listed || !worker.entry.draining) continue;
     ++status.draining_workers;
     for (const auto& [name, run] : worker.runs) {
@@ -362,6 +364,7 @@
         << worker.used.ToString() << " of " << worker.entry.capacity.ToString()
         << (worker.listed ? "" : ", not listed")
         << (worker.entry.draining ? ", draining" : "")
+        << (dispatch_internal::IsOpen(worker, now) ? "" : ", held back")
         << (worker.fenced ? "" : ", not fenced")
         << (IsUnresponsive(worker, now) ? ", silent" : "") << ", ends "
         << worker.processed << "/" << worker.acknowledged << "\n";
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -65,6 +65,17 @@
 using dispatch_internal::UnexpectedRun;
 using dispatch_internal::UpdateProgress;
 
+void Dispatcher::ApplyEvacuations(const EvacuationSet& evacuations) {
+  evacuations_ = evacuations;
+  for (auto& [id, worker] : workers_) UpdateOpenPeriod(worker);
+}
+
+void Dispatcher::UpdateOpenPeriod(Worker& worker) const {
+  if (!evacuations_) return;
+  worker.open =
+      evacuations_->OpenPeriodOf(worker.entry.id, worker.entry.data_centre);
+}
+
 void Dispatcher::OnWorkerListed(WorkerEntry entry, Time now) {
   Worker& worker = workers_.FindOrAdd(entry.id);
   const bool newly_listed = !worker.listed;
@@ -78,6 +89,7 @@
   }
   const bool moved = entry.endpoint != worker.entry.endpoint;
   worker.entry = std::move(entry);
+  UpdateOpenPeriod(worker);
   worker.listed = true;
   worker.unlisted = false;
   const bool enters_roster = !worker.in_roster && !worker.recorded_lease_end &&
--- a/gypsumfall/dispatch/dispatcher_reservations.cc
+++ b/gypsumfall/dispatch/dispatcher_reservations.cc
@@ -34,6 +34,7 @@
 using dispatch_internal::ChooseWorkerToReserve;
 using dispatch_internal::FreeResources;
 using dispatch_internal::IsEligible;
+using dispatch_internal::IsOpen;
 using dispatch_internal::IsUnresponsive;
 using dispatch_internal::ReleaseReservation;
 using dispatch_internal::Reserve;
@@ -115,9 +116,10 @@
       const bool wanted = job != nullptr && task != nullptr &&
                           !IsFinal(job->state) && task->reserved_on == id &&
                           task->phase != TaskPhase::kDone;
-      const bool usable = reservation.committed
-                              ? worker.listed && !worker.entry.draining
-                              : AcceptsWork(worker, now);
+      const bool usable =
+          reservation.committed
+              ? worker.listed && !worker.entry.draining && IsOpen(worker, now)
+              : AcceptsWork(worker, now);
       if (!wanted || now >= reservation.until || !usable)
         unusable.push_back(name);
     }
@@ -177,8 +179,10 @@
   const StepSpec& spec = job->spec_of(name);
   if (!spec.long_running || spec.best_effort) return;
   if (task->phase != TaskPhase::kReady || !task->reserved_on.empty()) return;
-  if (!worker.listed || worker.entry.draining || IsUnresponsive(worker, now))
+  if (!worker.listed || worker.entry.draining || !IsOpen(worker, now) ||
+      IsUnresponsive(worker, now)) {
     return;
+  }
   const bool failed_here =
       task->Avoids(worker.entry.id) || now < worker.refused_until;
   if (failed_here && now >= task->ready_since + kWaitBeforeReservation) {
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -19,6 +19,7 @@
 #include "gypsumfall/dispatch/internal/placement.h"
 #include "gypsumfall/dispatch/internal/worker_messages.h"
 #include "gypsumfall/dispatch/internal/worker_table.h"
+#include "gypsumfall/evacuation/evacuation.h"
 #include "gypsumfall/jobs/jobs.h"
 
 namespace gypsumfall {
@@ -120,6 +121,9 @@
   /// Largest number of free processors on one of them.
   MilliCores largest_free;
   int draining_workers = 0;
+  /// Listed workers on which no task starts because their data centre is closed
+  /// or they are still returning.
+  int held_back_workers = 0;
   /// Runs of long-running tasks on draining workers.
   int long_running_on_draining = 0;
   std::size_t waiting_steps = 0;
@@ -234,6 +238,11 @@
   /// @return the jobs that were moved and have not ended, as far as known.
   std::vector<JobId> MovedJobs() const;
 
+  /// Sets on which workers tasks may start. What runs on the others goes on.
+  /// Without any call, tasks may start on all workers; a leader must call this
+  /// before the first call of `Decide`.
+  void ApplyEvacuations(const EvacuationSet& evacuations);
+
   /// Adds a worker of the worker list, or updates its entry.
   void OnWorkerListed(WorkerEntry entry, Time now);
   /// Handles the removal of a worker from the worker list; its runs may
@@ -404,6 +413,7 @@
   // Workers.
   void UpdateClock(Worker& worker, const std::optional<WorkerTime>& clock,
                    Time sent, Time now);
+  void UpdateOpenPeriod(Worker& worker) const;
   void ResetForIncarnation(Worker& worker, WallTime incarnation, Time now);
   void ApplyRunReports(Worker& worker, const LeaseReply& reply, Time sent,
                        Time now);
@@ -596,6 +606,7 @@
 
   dispatch_internal::JobTable jobs_;
   dispatch_internal::WorkerTable workers_;
+  std::optional<EvacuationSet> evacuations_;
   dispatch_internal::InterferenceModel interference_;
   /// Ratio of actual to declared run times, smoothed.
   std::unordered_map<QueueId, double> run_time_ratios_;
--- a/gypsumfall/dispatch/internal/placement.h
+++ b/gypsumfall/dispatch/internal/placement.h
@@ -25,7 +25,8 @@
   const std::vector<WorkerId>* avoided = nullptr;
 };
 
-/// @return whether the worker may receive new runs at all.
+/// @return whether the worker may receive new runs at all. One whose data
+///   centre is closed may not.
 bool AcceptsWork(const Worker& worker, Time now);
 
 /// @return the time until the task can have enough free resources, judged by
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -117,6 +117,13 @@
     dispatcher_->OnWorkerListed(worker.entry, now_);
   }
 
+  /// Assigns the worker to a data centre; all begin in "dc".
+  void SetDataCentre(int index, const std::string& data_centre) {
+    SimulatedWorker& moved = worker(index);
+    moved.entry.data_centre = DataCentreId(data_centre);
+    dispatcher_->OnWorkerListed(moved.entry, now_);
+  }
+
   Dispatcher& dispatcher() { return *dispatcher_; }
   SimulatedWorker& worker(int index) {
     return workers_.at(WorkerId("w" + std::to_string(index)));
@@ -151,6 +158,7 @@
     const Time end = now_ + duration;
     while (now_ < end) {
       now_ += kSimulationStep;
+      ApplyEvacuations();
       for (auto& [id, worker] : workers_) EndRuns(worker);
       DeliverOrders();
       if (store_available) StoreRecords();
@@ -167,6 +175,7 @@
                          .other_shards = other_shards_,
                          .predecessor_slack = predecessor_slack},
         epoch, now_);
+    ApplyEvacuations();
     for (const auto& [id, ended] : stored_ended_) {
       dispatcher_->RestoreEnded(ended);
     }
@@ -275,6 +284,9 @@
   std::function<bool(const RecordBatch&)> rejects;
   /// Jobs that are stored after a successor has read the job table.
   std::set<JobId> unread_jobs;
+  /// Which data centres are closed, if set. The cluster confirms it at each
+  /// step, and counts a start in a closed one as a violation.
+  std::optional<EvacuationSet> evacuations;
   /// Sliced jobs whose cancellation is stored.
   std::set<JobId> cancelled_slices;
   /// Transfers that this shard has stored and not removed.
@@ -354,6 +366,12 @@
   }
 
  private:
+  void ApplyEvacuations() {
+    if (!evacuations) return;
+    evacuations->Confirm(now_);
+    dispatcher_->ApplyEvacuations(*evacuations);
+  }
+
   void EndRuns(SimulatedWorker& worker) {
     if (!worker.alive) return;
     std::vector<std::pair<TaskName, RunOutcome>> ended_runs;
@@ -486,6 +504,10 @@
     if (RunningNow(order.task) > 0) {
       violations.push_back("task runs twice at a time");
     }
+    if (evacuations &&
+        !evacuations->IsOpen(worker.entry.id, worker.entry.data_centre, now_)) {
+      violations.push_back("task starts in a closed data centre");
+    }
     ++starts_on[order.worker];
     const int start = ++starts[order.task];
     auto [run_time, end] = run_of(order.task, start);
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -13,6 +13,7 @@
 
 #include "gypsumfall/base/base.h"
 #include "gypsumfall/dispatch/internal/worker_messages.h"
+#include "gypsumfall/evacuation/evacuation.h"
 
 namespace gypsumfall::dispatch_internal {
 
@@ -107,7 +108,7 @@
   int priority = 0;
   Time until{};
   /// Holds while the worker does not accept work for a moment, unless it
-  /// drains or has left.
+  /// drains, has left or is in a closed data centre.
   bool committed = false;
 };
 
@@ -190,6 +191,10 @@
   /// End of the pause in new runs after the worker refused one.
   Time refused_until{};
 
+  /// When tasks may start on the worker, by what is known of its data centre.
+  /// Kept here because placement asks for each worker and each task.
+  OpenPeriod open;
+
   /// Earliest time at which the worker may leave; unset unless it drains and
   /// has reported it.
   std::optional<Time> may_leave_at;
@@ -214,6 +219,10 @@
 Time LeaseEnd(const Worker& worker, Time predecessor_leases_end);
 /// @return whether the worker has not answered in time.
 bool IsUnresponsive(const Worker& worker, Time now);
+/// @return whether the worker's data centre is open to new runs.
+inline bool IsOpen(const Worker& worker, Time now) {
+  return worker.open.Contains(now);
+}
 /// @return whether the worker gets no new runs and can hold neither a run nor
 ///   a completion that is not stored, so that no successor has to know of it.
 bool IsIdleAndLeaving(const Worker& worker);
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -165,7 +165,8 @@
 bool AcceptsWork(const Worker& worker, Time now) {
   return worker.listed && worker.fenced && worker.in_roster &&
          !worker.entry.draining && worker.unexpected_runs.empty() &&
-         now >= worker.refused_until && !IsUnresponsive(worker, now);
+         now >= worker.refused_until && IsOpen(worker, now) &&
+         !IsUnresponsive(worker, now);
 }
 
 Duration TimeUntilFits(const Worker& worker, const PlacementRequest& request,
