Read and obey the operator's rows that close data centres

Cause: the rows evacuate/ZONE of table op were not read. A leader reads them with the other stored state after its claim.

--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -40,12 +40,14 @@
 
 DispatchService::DispatchService(Context& context, const ShardScope& scope,
                                  LeaderElector& elector, LayoutService& layout,
-                                 WorkerListService& worker_list)
+                                 WorkerListService& worker_list,
+                                 TopologyService& topology)
     : context_(context),
       scope_(scope),
       elector_(elector),
       layout_(layout),
       worker_list_(worker_list),
+      topology_(topology),
       cycle_timer_(context.runtime, [this] { RunCycle(); }),
       load_retry_(context.runtime, [this] { Load(); }),
       starts_(context.metrics.AddCounter("runs_started")),
@@ -63,6 +65,8 @@
           "shard_largest_free_millicores", ShardLabels(scope))),
       draining_workers_(context.metrics.AddGauge("shard_draining_workers",
                                                  ShardLabels(scope))),
+      held_back_workers_(context.metrics.AddGauge("shard_held_back_workers",
+                                                  ShardLabels(scope))),
       jobs_(context.metrics.AddGauge("shard_jobs", ShardLabels(scope))),
       job_bytes_(
           context.metrics.AddGauge("shard_job_bytes", ShardLabels(scope))),
@@ -101,6 +105,11 @@
   if (dispatcher_) worker_list_.Replay(*this);
 }
 
+void DispatchService::OnEvacuations() {
+  if (!dispatcher_) return;
+  dispatcher_->ApplyEvacuations(topology_.evacuations());
+}
+
 void DispatchService::Tick() {
   if (!dispatcher_) return;
   RunCycle();
@@ -127,12 +136,13 @@
 void DispatchService::Load() {
   if (!elector_.lease().is_leader()) return;
   LoadState(context_, scope_, layout_.layout()->shard_count,
-            [this, generation = generation_](Result<StoredState> loaded) {
-              if (generation == generation_) OnLoaded(std::move(loaded));
+            [this, generation = generation_,
+             sent = context_.Now()](Result<StoredState> loaded) {
+              if (generation == generation_) OnLoaded(std::move(loaded), sent);
             });
 }
 
-void DispatchService::OnLoaded(Result<StoredState> loaded) {
+void DispatchService::OnLoaded(Result<StoredState> loaded, Time sent) {
   const Time now = context_.Now();
   if (!loaded) {
     log_.Warning("cannot load the stored state; retrying",
@@ -154,6 +164,10 @@
           std::max<std::size_t>(1, layout_.layout()->shard_count)};
   dispatcher_ = std::make_unique<Dispatcher>(
       settings, elector_.lease().record()->epoch, leader_since_);
+  // What this host knew before its claim may be old: it may have been frozen or
+  // cut off.
+  topology_.ApplyAllEvacuations(loaded->evacuations, sent);
+  dispatcher_->ApplyEvacuations(topology_.evacuations());
   const WallTime wall_now = context_.WallNow();
   std::set<JobId> ended;
   for (const JobProgress& ended_job : loaded->ended) {
@@ -196,16 +210,18 @@
   job_scan_version_ = loaded->version;
   sliced_version_ = loaded->sliced_version;
   takeover_time_.Record(now - leader_since_);
-  log_.Info("scheduling started",
-            {{"shard", scope_.id},
-             {"epoch", dispatcher_->epoch()},
-             {"jobs", loaded->jobs.size()},
-             {"sliced_jobs", loaded->sliced_jobs.size()},
-             {"transfers", loaded->own_transfers.size()},
-             {"moves", loaded->moves.size()},
-             {"ended_jobs", loaded->ended.size()},
-             {"workers_with_leases", loaded->roster.size()},
-             {"load_ms", (now - leader_since_).count() / 1000}});
+  log_.Info(
+      "scheduling started",
+      {{"shard", scope_.id},
+       {"epoch", dispatcher_->epoch()},
+       {"jobs", loaded->jobs.size()},
+       {"sliced_jobs", loaded->sliced_jobs.size()},
+       {"transfers", loaded->own_transfers.size()},
+       {"moves", loaded->moves.size()},
+       {"ended_jobs", loaded->ended.size()},
+       {"workers_with_leases", loaded->roster.size()},
+       {"evacuated_data_centres", topology_.evacuations().closed().size()},
+       {"load_ms", (now - leader_since_).count() / 1000}});
   worker_list_.Subscribe(*this);
   RunCycleSoon();
 }
@@ -413,12 +429,17 @@
 void DispatchService::ReportStatus(Time now) {
   if (now < next_status_) return;
   next_status_ = now + kStatusInterval;
+  if (!topology_.evacuations().IsKnown(now)) {
+    log_.Warning("no task starts: the evacuations were not read for too long",
+                 {{"shard", scope_.id}, {"epoch", dispatcher_->epoch()}});
+  }
   const ShardStatus status = dispatcher_->Status(now);
   const auto wait =
       std::chrono::duration<double>(status.longest_long_running_wait);
   free_cpu_.Set(static_cast<double>(status.free.value()));
   largest_free_cpu_.Set(static_cast<double>(status.largest_free.value()));
   draining_workers_.Set(status.draining_workers);
+  held_back_workers_.Set(status.held_back_workers);
   jobs_.Set(static_cast<double>(status.jobs));
   job_bytes_.Set(static_cast<double>(status.job_bytes));
   open_occurrences_.Set(static_cast<double>(status.open_occurrences));
@@ -437,6 +458,7 @@
              {"free", status.free},
              {"largest_free", status.largest_free},
              {"draining_workers", status.draining_workers},
+             {"held_back_workers", status.held_back_workers},
              {"long_running_on_draining", status.long_running_on_draining},
              {"waiting_steps", status.waiting_steps},
              {"jobs", status.jobs},
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -13,6 +13,7 @@
 #include "gypsumfall/scheduler/internal/layout_service.h"
 #include "gypsumfall/scheduler/internal/leader_elector.h"
 #include "gypsumfall/scheduler/internal/stored_jobs.h"
+#include "gypsumfall/scheduler/internal/topology_service.h"
 #include "gypsumfall/scheduler/internal/worker_list_service.h"
 
 namespace gypsumfall::scheduler_internal {
@@ -23,12 +24,14 @@
  public:
   DispatchService(Context& context, const ShardScope& scope,
                   LeaderElector& elector, LayoutService& layout,
-                  WorkerListService& worker_list);
+                  WorkerListService& worker_list, TopologyService& topology);
 
   /// Runs due work. Must be called periodically.
   void Tick();
   /// Handles the assignment of further racks, possibly to this shard.
   void OnRacksAssigned();
+  /// Handles a change of what is known of the closed data centres.
+  void OnEvacuations();
   std::string Dump() const;
 
   void OnListed(const WorkerEntry& entry) override;
@@ -70,7 +73,8 @@
  private:
   void StartScheduling();
   void Load();
-  void OnLoaded(Result<StoredState> loaded);
+  /// @param sent time at which the reads were sent.
+  void OnLoaded(Result<StoredState> loaded, Time sent);
   void StopScheduling();
   void RunCycle();
   void RunCycleSoon();
@@ -113,6 +117,7 @@
   LeaderElector& elector_;
   LayoutService& layout_;
   WorkerListService& worker_list_;
+  TopologyService& topology_;
   Timer cycle_timer_;
   Timer load_retry_;
   /// Incremented whenever scheduling starts or stops; responses to calls of an
@@ -148,6 +153,7 @@
   Gauge& free_cpu_;
   Gauge& largest_free_cpu_;
   Gauge& draining_workers_;
+  Gauge& held_back_workers_;
   Gauge& jobs_;
   Gauge& job_bytes_;
   Gauge& open_occurrences_;
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -69,6 +69,9 @@
   void Put(const RowAddress& address, const std::string& value) {
     rows_[Key(address)] = {address, value, RowVersion(++version_)};
   }
+  void Remove(const RowAddress& address) {
+    Apply({.conditions = {}, .writes = {}, .removals = {address}});
+  }
   /// Removes a row of which no read of changes tells.
   void RemoveWithoutHistory(const RowAddress& address) {
     rows_.erase(Key(address));
@@ -90,6 +93,9 @@
     remaining_read_failures_ = count;
   }
 
+  /// Table whose rows and changes cannot be read.
+  std::string unreadable_table;
+
   /// Row that the store never takes, if its table is set.
   RowAddress rejected_row;
 
@@ -115,6 +121,12 @@
       RowPage page{.outcome = StoreOutcome::kDone,
                    .rows = {},
                    .version = RowVersion(version_)};
+      if (table == unreadable_table) {
+        Post([done = std::move(done)]() mutable {
+          done({.outcome = StoreOutcome::kNotApplied, .rows = {}});
+        });
+        return;
+      }
       const auto history = history_start_.find(table);
       if (history != history_start_.end() && after < history->second) {
         page.outcome = StoreOutcome::kHistoryGone;
@@ -219,6 +231,8 @@
       --remaining_read_failures_;
       return {.outcome = StoreOutcome::kNotApplied, .rows = {}};
     }
+    if (range.table == unreadable_table)
+      return {.outcome = StoreOutcome::kNotApplied, .rows = {}};
     constexpr std::size_t kMaxKeyBytes = 200;
     constexpr int kMaxPageRows = 500;
     if (range.from.size() > kMaxKeyBytes)
@@ -258,6 +272,11 @@
 
 inline RowAddress ConfigAddress() { return {"op", "", "config"}; }
 
+/// @return the address of the row that closes a data centre.
+inline RowAddress EvacuationAddress(const std::string& data_centre) {
+  return {"op", "", "evacuate/" + data_centre};
+}
+
 /// @return a task of a job with one step.
 inline TaskName TaskOf(const JobId& id, int index) { return {id, 0, 0, index}; }
 
@@ -462,6 +481,7 @@
     settings_.scheduling.workers_per_processor = workers_per_processor;
     settings_.scheduling.max_job_memory = max_job_memory;
     settings_.timings.worker_heartbeat = milliseconds(100);
+    settings_.timings.evacuation_return = milliseconds(200);
     settings_.host.id = EntryHostId(name);
     settings_.host.processor_share = processor_share;
     settings_.host.listen_callers = {"127.0.0.1", caller_port_.number()};
@@ -522,6 +542,7 @@
   static DirectoryPort FakeDirectory() {
     return {
         .topology_row = ConfigAddress(),
+        .evacuation_rows = EvacuationAddress(""),
         .worker_table = "workers",
         .decode_topology = [](const std::string& value) -> Result<Topology> {
           if (value.empty()) return Fail(ErrorKind::kBadRequest, "empty");
@@ -538,14 +559,27 @@
           const std::size_t dash = row.address.key.find('-');
           const std::string rack =
               dash == std::string::npos ? "" : row.address.key.substr(0, dash);
+          // The data centre follows an "@".
+          const std::size_t at = row.address.key.find('@');
           return WorkerEntry{
               .id = WorkerId(row.address.key),
               .endpoint = "worker:1",
               .service = ServiceId("desk"),
-              .data_centre = DataCentreId("dc"),
+              .data_centre = DataCentreId(at == std::string::npos
+                                              ? "dc"
+                                              : row.address.key.substr(at + 1)),
               .capacity = {MilliCores(8000), MebiBytes(8000), {}},
               .labels = {WorkerLabel(rack)},
               .rack = RackId(rack)};
+        },
+        .decode_evacuation =
+            [](const RowAddress& address) -> std::optional<DataCentreId> {
+          const RowAddress prefix = EvacuationAddress("");
+          if (address.table != prefix.table ||
+              !address.key.starts_with(prefix.key)) {
+            return std::nullopt;
+          }
+          return DataCentreId(address.key.substr(prefix.key.size()));
         }};
   }
 
--- a/gypsumfall/scheduler/internal/row_loader.h
+++ b/gypsumfall/scheduler/internal/row_loader.h
@@ -16,6 +16,12 @@
   RowVersion version;
 };
 
+/// Reads the rows of a partition from a key on, page by page. Parameters are
+/// those of the function below.
+/// @param first the first page; its limit is that of each page.
+void LoadRows(Context& context, RowRange first, Duration timeout,
+              UniqueFunction<LoadedRows> done);
+
 /// Reads all rows of a partition, page by page.
 /// @param timeout timeout of the read of one page.
 /// @param done called with the rows, or with the outcome of the failed read.
--- a/gypsumfall/scheduler/internal/shard_service.h
+++ b/gypsumfall/scheduler/internal/shard_service.h
@@ -10,6 +10,7 @@
 #include "gypsumfall/scheduler/internal/dispatch_service.h"
 #include "gypsumfall/scheduler/internal/layout_service.h"
 #include "gypsumfall/scheduler/internal/leader_elector.h"
+#include "gypsumfall/scheduler/internal/topology_service.h"
 #include "gypsumfall/scheduler/internal/worker_list_service.h"
 
 namespace gypsumfall::scheduler_internal {
@@ -18,10 +19,11 @@
 /// while this host is the leader.
 struct Shard {
   Shard(Context& context, ShardId id, HostLeadership& host_leadership,
-        LayoutService& layout, WorkerListService& worker_list)
+        LayoutService& layout, WorkerListService& worker_list,
+        TopologyService& topology)
       : scope(id),
         elector(context, scope, host_leadership),
-        dispatch(context, scope, elector, layout, worker_list) {}
+        dispatch(context, scope, elector, layout, worker_list, topology) {}
   Shard(const Shard&) = delete;
   Shard& operator=(const Shard&) = delete;
 
@@ -36,7 +38,7 @@
   explicit ShardService(Context& context) : context_(context) {}
 
   std::vector<std::string> dependencies() const override {
-    return {kLayoutService, kWorkerListService};
+    return {kLayoutService, kTopologyService, kWorkerListService};
   }
   Result<void> Start() override;
   void Stop(std::function<void()> stopped) override;
--- a/gypsumfall/scheduler/internal/stored_jobs.h
+++ b/gypsumfall/scheduler/internal/stored_jobs.h
@@ -116,9 +116,17 @@
   /// changes must be read.
   RowVersion version;
   RowVersion sliced_version;
+  /// The operator's rows that close data centres, and possibly other rows.
+  LoadedRows evacuations;
 };
 
-/// Reads the stored state of a shard.
+/// Reads the operator's rows that close data centres.
+/// @param done called with these rows, among which there may be others, or with
+///   the outcome of a read that failed.
+void LoadEvacuations(Context& context, Duration timeout,
+                     UniqueFunction<LoadedRows> done);
+
+/// Reads the stored state of a shard, and which data centres are closed.
 /// @param done called with the state, or with an error if a table could not be
 ///   read.
 void LoadState(Context& context, const ShardScope& scope,
--- a/gypsumfall/scheduler/ports.h
+++ b/gypsumfall/scheduler/ports.h
@@ -198,10 +198,17 @@
 /// Decodes the rows that the operator and the workers write.
 struct DirectoryPort {
   RowAddress topology_row;
+  /// Address of the rows that each close a data centre; its key is the prefix
+  /// of their keys.
+  RowAddress evacuation_rows;
   /// Table with one row per worker; the key is the worker's id.
   std::string worker_table;
   std::function<Result<Topology>(const std::string& value)> decode_topology;
   std::function<Result<WorkerEntry>(const StoredRow&)> decode_worker;
+  /// @return the data centre that a row with this address closes, or nothing if
+  ///   it is another row.
+  std::function<std::optional<DataCentreId>(const RowAddress&)>
+      decode_evacuation;
 };
 
 struct SchedulerPorts {
--- a/gypsumfall/scheduler/row_loader.cc
+++ b/gypsumfall/scheduler/row_loader.cc
@@ -36,13 +36,14 @@
       done(std::move(loaded));
       return;
     }
-    if (range.from.empty()) loaded.version = page.version;
+    if (is_first_page) loaded.version = page.version;
     const std::size_t rows_before = loaded.rows.size();
     for (StoredRow& row : page.rows) {
       // The first row of a later page is the last one of the page before.
-      if (row.address.key != range.from || range.from.empty())
+      if (is_first_page || row.address.key != range.from)
         loaded.rows.push_back(std::move(row));
     }
+    is_first_page = false;
     const bool progressed = loaded.rows.size() > rows_before;
     if (!page.has_more || !progressed) {
       if (page.has_more) loaded.outcome = StoreOutcome::kUnknown;
@@ -58,17 +59,24 @@
   Duration timeout;
   UniqueFunction<LoadedRows> done;
   RowRange range;
+  bool is_first_page = true;
   LoadedRows loaded;
 };
 
 }  // namespace
 
-void LoadRows(Context& context, std::string table, std::string partition,
-              Duration timeout, UniqueFunction<LoadedRows> done) {
+void LoadRows(Context& context, RowRange first, Duration timeout,
+              UniqueFunction<LoadedRows> done) {
   auto load = std::make_shared<RowLoad>(context, timeout, std::move(done));
-  load->range = {std::move(table), std::move(partition), ""};
+  load->range = std::move(first);
   load->ReadNextPage();
 }
 
+void LoadRows(Context& context, std::string table, std::string partition,
+              Duration timeout, UniqueFunction<LoadedRows> done) {
+  LoadRows(context, {std::move(table), std::move(partition), ""}, timeout,
+           std::move(done));
+}
+
 }  // namespace scheduler_internal
 }  // namespace gypsumfall
--- a/gypsumfall/scheduler/shard_service.cc
+++ b/gypsumfall/scheduler/shard_service.cc
@@ -14,15 +14,20 @@
   layout_ = context_.kernel.Find<LayoutService>(kLayoutService);
   auto* worker_list =
       context_.kernel.Find<WorkerListService>(kWorkerListService);
-  layout_->on_layout_known = [this, worker_list] {
+  auto* topology = context_.kernel.Find<TopologyService>(kTopologyService);
+  layout_->on_layout_known = [this, worker_list, topology] {
     for (std::uint64_t i = 0; i < layout_->layout()->shard_count; ++i) {
-      shards_.push_back(std::make_unique<Shard>(
-          context_, ShardId(i), host_leadership_, *layout_, *worker_list));
+      shards_.push_back(std::make_unique<Shard>(context_, ShardId(i),
+                                                host_leadership_, *layout_,
+                                                *worker_list, *topology));
     }
   };
   layout_->on_racks_assigned = [this] {
     for (const auto& shard : shards_) shard->dispatch.OnRacksAssigned();
   };
+  topology->on_evacuations = [this] {
+    for (const auto& shard : shards_) shard->dispatch.OnEvacuations();
+  };
   context_.runtime.RunEvery(kTickInterval, [this] { Tick(); });
   return {};
 }
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -128,11 +128,11 @@
   return transactions;
 }
 
-// Waits for the reads of the six tables and combines their results.
+// Waits for the reads of the seven tables and combines their results.
 struct StateLoad {
   Logger log{"stored-jobs"};
   StoredState state;
-  int pending_reads = 6;
+  int pending_reads = 7;
   bool failed = false;
   UniqueFunction<Result<StoredState>> done;
 
@@ -381,6 +381,13 @@
   return rows;
 }
 
+void LoadEvacuations(Context& context, Duration timeout,
+                     UniqueFunction<LoadedRows> done) {
+  const RowAddress& first = context.ports.directory.evacuation_rows;
+  LoadRows(context, {first.table, first.partition, first.key}, timeout,
+           std::move(done));
+}
+
 void LoadState(Context& context, const ShardScope& scope,
                std::uint64_t shard_count,
                UniqueFunction<Result<StoredState>> done) {
@@ -416,6 +423,11 @@
              DecodeOldRoster(loaded, *loading);
              loading->Finish(loaded.outcome);
            });
+  LoadEvacuations(context, kPageTimeout, [loading](LoadedRows loaded) {
+    const StoreOutcome outcome = loaded.outcome;
+    loading->state.evacuations = std::move(loaded);
+    loading->Finish(outcome);
+  });
   LoadRows(context, kRosterTable, scope.partition, kPageTimeout,
            [loading](const LoadedRows& loaded) {
              loading->state.roster =
