Add the messages of storing a job through another host

Change: StoreJobRequest carries the encoded record unchanged, StoreJobReply the outcome of the write and the current rows of a conflict.

--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -256,6 +256,38 @@
   std::vector<JobId> wanted;
 };
 
+/// Asks the leader of a shard to store an accepted job for a host whose own
+/// write was not applied or has an unknown outcome.
+struct StoreJobRequest {
+  /// Whether all shards run slices of the job.
+  bool sliced = false;
+  /// Time for which the write may be waited for.
+  milliseconds timeout{0};
+  /// The encoded record, which is written unchanged, so that a conflict with
+  /// an earlier write of the same job is recognised.
+  std::string record;
+};
+
+/// Outcome of the write of an accepted job.
+enum class StoreJobOutcome {
+  kDone,
+  /// A row of the job exists already.
+  kConflict,
+  /// Nothing was stored and nothing will be.
+  kNotApplied,
+  /// The store rejects the row for its content.
+  kRejected,
+  /// The job may have been stored or may still be.
+  kUnknown,
+};
+
+/// Reply to a request to store a job.
+struct StoreJobReply {
+  StoreJobOutcome outcome = StoreJobOutcome::kUnknown;
+  /// For `kConflict`: the values of the current rows of the job.
+  std::vector<std::string> current;
+};
+
 /// Asks the scheduling host for the state of a job.
 struct JobQuery {
   JobId id;
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -14,6 +14,12 @@
       "queued", "running", "completed", "failed", "cancelled"};
 };
 
+template <>
+struct EnumNames<StoreJobOutcome> {
+  static constexpr std::array<std::string_view, 5> kNames = {
+      "done", "conflict", "not_applied", "rejected", "unknown"};
+};
+
 }  // namespace protocol_internal
 
 namespace {
@@ -278,6 +284,19 @@
   visit("processors", request.processors);
 }
 
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<StoreJobRequest> auto& request) {
+  OptionalField(visit, "sliced", request.sliced);
+  MillisecondsField(visit, "timeout_ms", request.timeout);
+  visit("record", request.record);
+}
+
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<StoreJobReply> auto& reply) {
+  visit("outcome", reply.outcome);
+  ListField(visit, "current", reply.current);
+}
+
 template <typename Visitor>
 void Fields(Visitor& visit, MaybeConst<JobQuery> auto& query) {
   visit("id", query.id);
@@ -303,6 +322,8 @@
 template std::string Encode(const JobStateReply&);
 template std::string Encode(const QueueLengthReply&);
 template std::string Encode(const HandoverRequest&);
+template std::string Encode(const StoreJobRequest&);
+template std::string Encode(const StoreJobReply&);
 template std::string Encode(const JobQuery&);
 template std::string Encode(const QueueQuery&);
 template Result<JobRecord> Decode(std::string_view);
@@ -320,6 +341,8 @@
 template Result<JobStateReply> Decode(std::string_view);
 template Result<QueueLengthReply> Decode(std::string_view);
 template Result<HandoverRequest> Decode(std::string_view);
+template Result<StoreJobRequest> Decode(std::string_view);
+template Result<StoreJobReply> Decode(std::string_view);
 template Result<JobQuery> Decode(std::string_view);
 template Result<QueueQuery> Decode(std::string_view);
 
