Store jobs through another host while the store turns a host away

Cause: for 7 to 9 s at a time the store fails the requests of a third of the hosts, which then refuse all jobs or answer that the outcome is unknown. Change: with acceptance_relay a host calls store-job on the leader of the home shard, then on the leaders of other shards. The leader writes the identical record once and answers with the outcome. A call without an answer is an unknown outcome until a write of the same record settles it. Metrics jobs_stored_through_peer and relayed_jobs_failed. Without the setting no call or answer changes.

--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -16,6 +16,11 @@
 constexpr Duration kAnswerMargin = milliseconds(150);
 constexpr Duration kPeerTimeout = milliseconds(600);
 constexpr Duration kReadTimeout = milliseconds(500);
+// Bounds of the time for which another host is waited for when it stores a job.
+// The upper one covers the shortest time for which a host waits for its own
+// write (700 ms), and a caller that waits 3 s still has time for a second host.
+constexpr Duration kMinRelayTimeout = milliseconds(100);
+constexpr Duration kMaxRelayTimeout = milliseconds(900);
 constexpr Duration kRetryDelay = milliseconds(60);
 // Bounds of the retry delay that is sent to refused callers. Between the
 // bounds, the delay is the age of the outage: an outage that has lasted longer
@@ -53,11 +58,18 @@
   std::string record_text;
   /// Whether an attempt to store the job has an unknown outcome.
   bool maybe_stored = false;
+  /// Paths tried since the latest delay, if jobs are relayed.
+  AcceptanceAttempts attempts;
+  /// Whether the home shard's leader has stored the job and thus knows it.
+  bool home_leader_knows = false;
 };
 
 CallerService::CallerService(Context& context)
     : context_(context),
-      answer_latency_(context.metrics.AddLatency("caller_answer_seconds")) {}
+      answer_latency_(context.metrics.AddLatency("caller_answer_seconds")),
+      jobs_stored_through_peer_(
+          context.metrics.AddCounter("jobs_stored_through_peer")),
+      relayed_jobs_failed_(context.metrics.AddCounter("relayed_jobs_failed")) {}
 
 Result<void> CallerService::Start() {
   topology_ = context_.kernel.Find<TopologyService>(kTopologyService);
@@ -161,8 +173,7 @@
 }
 
 void CallerService::StoreJob(const std::shared_ptr<Exchange>& exchange) {
-  const Duration time_left = exchange->answer_by - context_.Now();
-  if (!exchange->maybe_stored) {
+  if (exchange->record_text.empty()) {
     const std::optional<LeaderRecord>& leader =
         exchange->shard->elector.lease().record();
     exchange->record.accepted_epoch = exchange->sliced
@@ -171,19 +182,110 @@
                                                : Epoch(0);
     exchange->record_text = Encode(exchange->record);
   }
+  const Time now = context_.Now();
+  const Duration time_left = exchange->answer_by - now;
+  const Duration accept_timeout = AcceptTimeout(latest_store_time_);
+  if (!context_.settings.overload.acceptance_relay) {
+    WriteJob(exchange, std::min(time_left, accept_timeout));
+    return;
+  }
+  const std::vector<RelayTarget> targets = RelayTargets(*exchange);
+  const AcceptanceStep step =
+      acceptance_path_.NextStep(exchange->attempts, targets, now);
+  // A write that is given no time would only have an unknown outcome.
+  if (!exchange->attempts.relayed_to.empty() && time_left < kMinRelayTimeout) {
+    OnJobNotStored(exchange);
+    return;
+  }
+  switch (step.route) {
+    case AcceptanceStep::Route::kOwnStore:
+      WriteJob(exchange, OwnWriteTimeout(time_left, accept_timeout,
+                                         /*relay_possible=*/
+                                         exchange->attempts.relayed_to.size() <
+                                             targets.size()));
+      break;
+    case AcceptanceStep::Route::kRelay:
+      RelayJob(exchange, *shards_->FindShard(step.shard));
+      break;
+    case AcceptanceStep::Route::kNone:
+      OnJobNotStored(exchange);
+      break;
+  }
+}
+
+void CallerService::WriteJob(const std::shared_ptr<Exchange>& exchange,
+                             Duration timeout) {
   context_.ports.store.transact(
       exchange->sliced
           ? AcceptSlicedTransaction(exchange->request.job,
                                     exchange->record_text)
           : AcceptTransaction(exchange->shard->scope, exchange->request.job,
                               exchange->record_text),
-      std::min(time_left, AcceptTimeout(latest_store_time_)),
+      timeout,
       [this, exchange, sent = context_.Now()](const TransactionReply& reply) {
         latest_store_time_ = context_.Now() - sent;
+        RecordOwnWrite(reply.outcome);
         OnJobStored(exchange, reply);
       });
 }
 
+void CallerService::RecordOwnWrite(StoreOutcome outcome) {
+  if (!context_.settings.overload.acceptance_relay) return;
+  const bool was_failing = acceptance_path_.is_own_store_failing();
+  acceptance_path_.OnOwnWrite(outcome, context_.Now());
+  if (acceptance_path_.is_own_store_failing() == was_failing) return;
+  if (was_failing) {
+    log_.Info("the store takes jobs of this host again", {});
+  } else {
+    log_.Warning("the store does not take jobs of this host",
+                 {{"outcome", StoreOutcomeName(outcome)}});
+  }
+}
+
+std::vector<RelayTarget> CallerService::RelayTargets(
+    const Exchange& exchange) const {
+  std::vector<RelayTarget> targets;
+  for (const auto& shard : shards_->shards()) {
+    const std::optional<LeaderRecord>& leader = shard->elector.lease().record();
+    if (!leader || leader->released || shard->dispatch.is_scheduling() ||
+        leader->holder == context_.settings.host.id) {
+      continue;
+    }
+    const bool is_home = shard.get() == exchange.shard;
+    targets.insert(is_home ? targets.begin() : targets.end(),
+                   {shard->scope.id, leader->endpoint});
+  }
+  return targets;
+}
+
+void CallerService::RelayJob(const std::shared_ptr<Exchange>& exchange,
+                             Shard& shard) {
+  const Duration timeout = std::min<Duration>(
+      exchange->answer_by - context_.Now(), kMaxRelayTimeout);
+  peers_->StoreJob(shard, exchange->record_text, exchange->sliced, timeout,
+                   [this, exchange, &shard,
+                    endpoint = shard.elector.lease().record()->endpoint](
+                       const TransactionReply& reply) {
+                     acceptance_path_.OnRelayedWrite(endpoint, reply.outcome,
+                                                     context_.Now());
+                     const bool stored = IsStored(exchange->record_text, reply);
+                     if (stored) {
+                       jobs_stored_through_peer_.Add();
+                     } else if (reply.outcome != StoreOutcome::kConflict) {
+                       relayed_jobs_failed_.Add();
+                     }
+                     log_.Info(stored ? "job stored through another host"
+                                      : "job not stored through another host",
+                               {{"request", exchange->request.job},
+                                {"shard", shard.scope.id},
+                                {"host", endpoint},
+                                {"outcome", StoreOutcomeName(reply.outcome)}});
+                     exchange->home_leader_knows =
+                         stored && &shard == exchange->shard;
+                     OnJobStored(exchange, reply);
+                   });
+}
+
 void CallerService::OnJobStored(const std::shared_ptr<Exchange>& exchange,
                                 const TransactionReply& reply) {
   switch (reply.outcome) {
@@ -203,8 +305,19 @@
     case StoreOutcome::kNotApplied:
       break;
   }
+  if (context_.settings.overload.acceptance_relay) {
+    StoreJob(exchange);
+  } else {
+    OnJobNotStored(exchange);
+  }
+}
+
+void CallerService::OnJobNotStored(const std::shared_ptr<Exchange>& exchange) {
   if (HasTimeToRetry(*exchange) && exchange->maybe_stored) {
-    RetryLater(exchange, [this, exchange] { StoreJob(exchange); });
+    RetryLater(exchange, [this, exchange] {
+      exchange->attempts = {};
+      StoreJob(exchange);
+    });
   } else if (exchange->maybe_stored) {
     Answer(*exchange, {.kind = CallerAnswer::Kind::kOutcomeUnknown});
   } else {
@@ -230,7 +343,7 @@
 void CallerService::OnAccepted(Exchange& exchange) {
   Answer(exchange, {.kind = CallerAnswer::Kind::kAccepted});
   // The leaders wait for changes of the table of sliced jobs.
-  if (exchange.sliced) return;
+  if (exchange.sliced || exchange.home_leader_knows) return;
   peers_->ReportAccepted(*exchange.shard, exchange.record,
                          exchange.record_text);
 }
--- a/gypsumfall/scheduler/internal/caller_service.h
+++ b/gypsumfall/scheduler/internal/caller_service.h
@@ -4,7 +4,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "gypsumfall/scheduler/internal/acceptance_path.h"
 #include "gypsumfall/scheduler/internal/context.h"
 #include "gypsumfall/scheduler/internal/leader_elector.h"
 #include "gypsumfall/scheduler/internal/peer_service.h"
@@ -34,11 +36,20 @@
   void Submit(const std::shared_ptr<Exchange>& exchange);
   /// @return whether a shard that would run the job accepts no further ones.
   bool IsFull(const Exchange& exchange) const;
+  /// Makes the next attempt to store the job, or answers if there is none.
   void StoreJob(const std::shared_ptr<Exchange>& exchange);
+  void WriteJob(const std::shared_ptr<Exchange>& exchange, Duration timeout);
+  /// Has the leader of a shard, which is another host, store the job.
+  void RelayJob(const std::shared_ptr<Exchange>& exchange, Shard& shard);
+  /// @return the leaders on other hosts, the home shard's first.
+  std::vector<RelayTarget> RelayTargets(const Exchange& exchange) const;
+  void RecordOwnWrite(StoreOutcome outcome);
   /// Answers a request whose job is stored, and reports the job.
   void OnAccepted(Exchange& exchange);
   void OnJobStored(const std::shared_ptr<Exchange>& exchange,
                    const TransactionReply& reply);
+  /// Retries, or answers, after all paths to the store have failed.
+  void OnJobNotStored(const std::shared_ptr<Exchange>& exchange);
   /// Answers a request whose job is stored already, or was cancelled.
   void OnJobConflict(Exchange& exchange, const std::vector<StoredRow>& current);
   void QueryState(const std::shared_ptr<Exchange>& exchange);
@@ -81,6 +92,9 @@
   /// Time that the latest attempt to store a job took, until its answer or its
   /// timeout.
   Duration latest_store_time_{0};
+  AcceptancePath acceptance_path_;
+  Counter& jobs_stored_through_peer_;
+  Counter& relayed_jobs_failed_;
   /// Start of the current outage, and time of its latest refused request.
   Time outage_since_{};
   Time last_refusal_{};
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -42,6 +42,9 @@
     kCallLost,
     /// The call is carried out by `ApplyLate`, and there is no response.
     kLate,
+    /// The call is carried out, and the host never learns of any result, as if
+    /// it had died.
+    kHostLost,
   };
 
   explicit FakeStore(boost::asio::io_context& io) : io_(io) {}
@@ -53,6 +56,17 @@
     remaining_faults_ = count;
     table_with_faults_ = table;
   }
+  /// Injects a fault into the next `count` transactions with which the host
+  /// writes to the table. They take precedence over those of `InjectFault`.
+  void InjectHostFault(const std::string& host, Fault fault, int count,
+                       const std::string& table) {
+    host_faults_[host] = {fault, count, table};
+  }
+  /// @return the number of transactions with which the host has tried to write
+  ///   to the table of its injected faults.
+  int faulty_writes(const std::string& host) {
+    return host_faults_[host].writes;
+  }
   /// @return the number of injected faults that have not occurred yet.
   int remaining_faults() const { return remaining_faults_; }
 
@@ -96,11 +110,17 @@
   /// Number of rows that reads have returned so far.
   std::size_t rows_returned = 0;
 
-  RowStore Port() {
+  /// @param host name of the host that uses the port, see `InjectHostFault`.
+  RowStore Port(const std::string& host = {}) {
     RowStore port;
-    port.transact = [this](const RowTransaction& transaction, Duration,
-                           UniqueFunction<TransactionReply> done) {
-      TransactionReply reply = Transact(transaction);
+    port.transact = [this, host](const RowTransaction& transaction, Duration,
+                                 UniqueFunction<TransactionReply> done) {
+      const Fault fault = NextFault(host, transaction);
+      TransactionReply reply = Transact(transaction, fault);
+      if (fault == Fault::kHostLost) {
+        unanswered_.push_back(std::move(done));
+        return;
+      }
       if (reply.outcome != StoreOutcome::kUnknown) reply.store_time = Clock();
       Post([done = std::move(done), reply]() mutable { done(reply); });
     };
@@ -153,12 +173,27 @@
     boost::asio::post(io_, std::move(work));
   }
 
-  TransactionReply Transact(const RowTransaction& transaction) {
+  struct HostFault {
     Fault fault = Fault::kNone;
-    if (remaining_faults_ > 0 && WritesTo(table_with_faults_, transaction)) {
-      --remaining_faults_;
-      fault = fault_;
+    int remaining = 0;
+    std::string table;
+    int writes = 0;
+  };
+
+  Fault NextFault(const std::string& host, const RowTransaction& transaction) {
+    const auto found = host_faults_.find(host);
+    if (found != host_faults_.end() &&
+        WritesTo(found->second.table, transaction)) {
+      ++found->second.writes;
+      if (found->second.remaining-- > 0) return found->second.fault;
     }
+    if (remaining_faults_ == 0 || !WritesTo(table_with_faults_, transaction))
+      return Fault::kNone;
+    --remaining_faults_;
+    return fault_;
+  }
+
+  TransactionReply Transact(const RowTransaction& transaction, Fault fault) {
     if (fault == Fault::kDown) return {StoreOutcome::kNotApplied, {}, {}};
     if (fault == Fault::kLate) late_.push_back(transaction);
     if (fault == Fault::kCallLost || fault == Fault::kLate)
@@ -251,6 +286,9 @@
   Fault fault_ = Fault::kNone;
   int remaining_faults_ = 0;
   std::string table_with_faults_;
+  std::map<std::string, HostFault> host_faults_;
+  /// Keeps calls of lost hosts open, so that they are not answered as failed.
+  std::vector<UniqueFunction<TransactionReply>> unanswered_;
   std::vector<RowTransaction> late_;
   int remaining_read_failures_ = 0;
   std::string partition_with_failing_reads_;
@@ -452,16 +490,19 @@
            InstantWorkers& workers, const std::string& name,
            std::int64_t workers_per_processor = 500,
            double processor_share = 1.0,
-           ByteCount max_job_memory = ByteCount(64 << 20))
+           ByteCount max_job_memory = ByteCount(64 << 20),
+           bool acceptance_relay = false)
       : io_(io),
         caller_port_(io),
         peer_port_(io),
         runtime_(io),
         peers_(io, {}),
-        ports_{store.Port(), workers.Port(), FakeCallers(), FakeDirectory()} {
+        ports_{store.Port(name), workers.Port(), FakeCallers(),
+               FakeDirectory()} {
     settings_.scheduling.workers_per_processor = workers_per_processor;
     settings_.scheduling.max_job_memory = max_job_memory;
     settings_.timings.worker_heartbeat = milliseconds(100);
+    settings_.overload.acceptance_relay = acceptance_relay;
     settings_.host.id = EntryHostId(name);
     settings_.host.processor_share = processor_share;
     settings_.host.listen_callers = {"127.0.0.1", caller_port_.number()};
@@ -502,6 +543,7 @@
     }
   }
 
+  Metrics& metrics() { return metrics_; }
   TopologyService& topology() {
     return *kernel_.Find<TopologyService>(kTopologyService);
   }
--- a/gypsumfall/scheduler/internal/peer_service.h
+++ b/gypsumfall/scheduler/internal/peer_service.h
@@ -29,6 +29,16 @@
   /// @param text the encoded record.
   void ReportAccepted(Shard& shard, const JobRecord& record,
                       const std::string& text);
+  /// Has the shard's leader, which must be another host, store an accepted job.
+  /// The leader writes once to the store and calls no further host.
+  /// @param text the encoded record, which is stored unchanged.
+  /// @param timeout time for which the answer is waited for. The leader's write
+  ///   is given less.
+  /// @param done called with the outcome of the write: `kNotApplied` if the
+  ///   leader has certainly not written, `kUnknown` without an answer. The
+  ///   rows of a conflict have their values only.
+  void StoreJob(Shard& shard, const std::string& text, bool sliced,
+                Duration timeout, UniqueFunction<TransactionReply> done);
   /// Queries the state of a job.
   /// @param done called with the reply, or with an error if the shard's leader
   ///   does not answer; the same holds for the calls below.
@@ -56,12 +66,16 @@
   void Serve(const HttpRequest& request, Responder respond);
   void ServeHandover(LeaderElector& elector, const HttpRequest& request,
                      Responder respond);
+  void ServeStoreJob(const HttpRequest& request, Responder respond);
   void ServeJobCall(DispatchService& dispatch, const HttpRequest& request,
                     std::string_view call, Responder respond);
   void Call(Shard& shard, std::string_view call, std::string body,
             Duration timeout, UniqueFunction<Result<std::string>> done);
-  void OnOutcome(Shard& shard, CallOutcome outcome,
-                 UniqueFunction<Result<std::string>>& done);
+  /// Sends a call to the leader, which must be known.
+  void Send(Shard& shard, std::string_view call, std::string body,
+            Duration timeout, UniqueFunction<CallOutcome> done);
+  /// Tells the elector if the outcome shows that the leader is lost.
+  void ObserveLeader(Shard& shard, const CallOutcome& outcome);
   void QueryQueueLength(Shard& shard, const QueueId& queue, Duration timeout,
                         UniqueFunction<Result<QueueLengthReply>> done);
 
--- a/gypsumfall/scheduler/internal/sharded_deployment.h
+++ b/gypsumfall/scheduler/internal/sharded_deployment.h
@@ -16,15 +16,17 @@
 
 /// A store with four workers in two racks, split into shards of two workers.
 struct ShardedDeployment {
-  ShardedDeployment() : store(io), workers(io) {
+  explicit ShardedDeployment(bool acceptance_relay = false)
+      : store(io), workers(io) {
     store.Put(ConfigAddress(), "1");
     for (int i = 0; i < 4; ++i) {
       const std::string rack = i < 2 ? "rack1" : "rack2";
       store.Put({"workers", "", rack + "-w" + std::to_string(i)}, "");
     }
     for (int i = 0; i < 2; ++i) {
-      hosts.push_back(std::make_unique<TestHost>(io, store, workers,
-                                                 "h" + std::to_string(i), 2));
+      hosts.push_back(std::make_unique<TestHost>(
+          io, store, workers, "h" + std::to_string(i), 2, 1.0,
+          ByteCount(64 << 20), acceptance_relay));
     }
     for (auto& host : hosts) {
       host->RunUntil([&] { return host->shards().is_ready(); });
--- a/gypsumfall/scheduler/internal/stored_jobs.h
+++ b/gypsumfall/scheduler/internal/stored_jobs.h
@@ -55,6 +55,11 @@
 RowTransaction AcceptTransaction(const ShardScope& scope, const JobId& id,
                                  std::string record);
 
+/// @param record the encoded job that was written.
+/// @return whether the write, or an earlier one of the same record, has stored
+///   the job.
+bool IsStored(const std::string& record, const TransactionReply& reply);
+
 /// @param latest time that the latest attempt to store a job took, until its
 ///   answer or its timeout.
 /// @return the time for which the next attempt is waited for. It grows while
--- a/gypsumfall/scheduler/peer_service.cc
+++ b/gypsumfall/scheduler/peer_service.cc
@@ -1,9 +1,13 @@
 #include "gypsumfall/scheduler/internal/peer_service.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <memory>
 #include <utility>
 
+#include "gypsumfall/scheduler/internal/stored_jobs.h"
+
 namespace gypsumfall::scheduler_internal {
 namespace {
 
@@ -16,6 +20,7 @@
 constexpr std::string_view kHandoverCall = "handover";
 constexpr std::string_view kReservePlacesCall = "reserve-places";
 constexpr std::string_view kOfferJobsCall = "offer-jobs";
+constexpr std::string_view kStoreJobCall = "store-job";
 
 constexpr Duration kReportTimeout = milliseconds(500);
 constexpr Duration kHandoverTimeout = milliseconds(2500);
@@ -23,10 +28,17 @@
 // Delay of the next request for leadership after one that was rejected.
 constexpr Duration kHandoverRetryDelay = seconds(2);
 constexpr Duration kStopGrace = seconds(1);
+// Part of the timeout of a relayed write that is left for the answer of the
+// host that writes; data centres are a few milliseconds apart.
+constexpr milliseconds kStoreJobMargin{50};
 
 // A host that is not the shard's leader answers with this HTTP status and the
 // id of its process.
 constexpr int kNotSchedulingStatus = 409;
+// Statuses with which a host answers calls that it has not carried out: it does
+// not schedule the shard, does not know the call, or cannot read it.
+constexpr std::array kNotCarriedOutStatuses = {kNotSchedulingStatus, 400, 404,
+                                               413};
 
 template <typename Reply>
 UniqueFunction<Result<std::string>> DecodeInto(
@@ -40,6 +52,61 @@
   };
 }
 
+StoreJobOutcome ToMessage(StoreOutcome outcome) {
+  switch (outcome) {
+    case StoreOutcome::kDone:
+      return StoreJobOutcome::kDone;
+    case StoreOutcome::kConflict:
+      return StoreJobOutcome::kConflict;
+    case StoreOutcome::kNotApplied:
+      return StoreJobOutcome::kNotApplied;
+    case StoreOutcome::kRejected:
+      return StoreJobOutcome::kRejected;
+    case StoreOutcome::kUnknown:
+    case StoreOutcome::kHistoryGone:
+      break;
+  }
+  return StoreJobOutcome::kUnknown;
+}
+
+StoreOutcome FromMessage(StoreJobOutcome outcome) {
+  switch (outcome) {
+    case StoreJobOutcome::kDone:
+      return StoreOutcome::kDone;
+    case StoreJobOutcome::kConflict:
+      return StoreOutcome::kConflict;
+    case StoreJobOutcome::kNotApplied:
+      return StoreOutcome::kNotApplied;
+    case StoreJobOutcome::kRejected:
+      return StoreOutcome::kRejected;
+    case StoreJobOutcome::kUnknown:
+      break;
+  }
+  return StoreOutcome::kUnknown;
+}
+
+// Returns the outcome of a relayed write. Only what shows that the other host
+// has not written counts as not applied.
+TransactionReply RelayedWrite(const CallOutcome& outcome) {
+  if (outcome.certainly_not_sent) return {StoreOutcome::kNotApplied, {}, {}};
+  if (outcome.failure) return {StoreOutcome::kUnknown, {}, {}};
+  if (outcome.status != 200) {
+    const bool carried_out =
+        std::find(kNotCarriedOutStatuses.begin(), kNotCarriedOutStatuses.end(),
+                  outcome.status) == kNotCarriedOutStatuses.end();
+    return {carried_out ? StoreOutcome::kUnknown : StoreOutcome::kNotApplied,
+            {},
+            {}};
+  }
+  Result<StoreJobReply> reply = Decode<StoreJobReply>(outcome.body);
+  if (!reply) return {StoreOutcome::kUnknown, {}, {}};
+  TransactionReply write{FromMessage(reply->outcome), {}, {}};
+  for (std::string& value : reply->current) {
+    write.current.push_back({.address = {}, .value = std::move(value)});
+  }
+  return write;
+}
+
 }  // namespace
 
 PeerService::PeerService(Context& context)
@@ -83,6 +150,20 @@
        });
 }
 
+void PeerService::StoreJob(Shard& shard, const std::string& text, bool sliced,
+                           Duration timeout,
+                           UniqueFunction<TransactionReply> done) {
+  const StoreJobRequest request{
+      .sliced = sliced,
+      .timeout =
+          std::chrono::duration_cast<milliseconds>(timeout) - kStoreJobMargin,
+      .record = text};
+  Send(shard, kStoreJobCall, Encode(request), timeout,
+       [done = std::move(done)](const CallOutcome& outcome) mutable {
+         done(RelayedWrite(outcome));
+       });
+}
+
 void PeerService::QueryState(Shard& shard, const JobId& id, Duration timeout,
                              UniqueFunction<Result<JobStateReply>> done) {
   if (shard.dispatch.is_scheduling()) {
@@ -189,36 +270,42 @@
     done(Fail(ErrorKind::kOwnerUnavailable, "no host schedules"));
     return;
   }
+  Send(shard, call, std::move(body), timeout,
+       [done = std::move(done)](CallOutcome outcome) mutable {
+         if (!outcome.failure && outcome.status == 200) {
+           done(std::move(outcome.body));
+           return;
+         }
+         done(Fail(ErrorKind::kOwnerUnavailable,
+                   outcome.failure
+                       ? std::string(CallFailureName(*outcome.failure))
+                       : "status " + std::to_string(outcome.status)));
+       });
+}
+
+void PeerService::Send(Shard& shard, std::string_view call, std::string body,
+                       Duration timeout, UniqueFunction<CallOutcome> done) {
   std::string path = std::string(kPathPrefix) +
                      std::to_string(shard.scope.id.value()) + "/" +
                      std::string(call);
   context_.peers.Call(
-      leader->endpoint, {.path = std::move(path), .body = std::move(body)},
-      timeout,
+      shard.elector.lease().record()->endpoint,
+      {.path = std::move(path), .body = std::move(body)}, timeout,
       [this, &shard, done = std::move(done)](CallOutcome outcome) mutable {
-        OnOutcome(shard, std::move(outcome), done);
+        ObserveLeader(shard, outcome);
+        done(std::move(outcome));
       });
 }
 
-void PeerService::OnOutcome(Shard& shard, CallOutcome outcome,
-                            UniqueFunction<Result<std::string>>& done) {
-  if (!outcome.failure && outcome.status == 200) {
-    done(std::move(outcome.body));
-    return;
-  }
+void PeerService::ObserveLeader(Shard& shard, const CallOutcome& outcome) {
+  if (!outcome.failure && outcome.status == 200) return;
   failed_calls_.Add();
   if (outcome.failure) {
     if (*outcome.failure == CallFailure::kRefused)
       shard.elector.OnHolderRefused();
-    done(Fail(ErrorKind::kOwnerUnavailable,
-              std::string(CallFailureName(*outcome.failure))));
-    return;
-  }
-  if (outcome.status == kNotSchedulingStatus) {
+  } else if (outcome.status == kNotSchedulingStatus) {
     shard.elector.OnHolderReplaced(outcome.body);
   }
-  done(Fail(ErrorKind::kOwnerUnavailable,
-            "status " + std::to_string(outcome.status)));
 }
 
 void PeerService::Serve(const HttpRequest& request, Responder respond) {
@@ -242,6 +329,9 @@
   } else {
     if (path == kHandoverCall) {
       ServeHandover(shard->elector, request, std::move(respond));
+    } else if (path == kStoreJobCall &&
+               context_.settings.overload.acceptance_relay) {
+      ServeStoreJob(request, std::move(respond));
     } else {
       ServeJobCall(shard->dispatch, request, path, std::move(respond));
     }
@@ -261,6 +351,39 @@
       });
 }
 
+// Any host can store the job of any shard. Callers choose leaders, because they
+// know their endpoints and because a leader's store calls usually succeed.
+void PeerService::ServeStoreJob(const HttpRequest& request, Responder respond) {
+  Result<StoreJobRequest> call = Decode<StoreJobRequest>(request.body);
+  if (!call) return respond(ErrorResponse(call.error()));
+  Result<JobRecord> record = Decode<JobRecord>(call->record);
+  if (!record) return respond(ErrorResponse(record.error()));
+  Shard& home = shards_->HomeShardOf(record->id);
+  RowTransaction write =
+      call->sliced ? AcceptSlicedTransaction(record->id, call->record)
+                   : AcceptTransaction(home.scope, record->id, call->record);
+  const Duration timeout = call->timeout;
+  context_.ports.store.transact(
+      std::move(write), timeout,
+      [this, &home, call = *std::move(call), record = *std::move(record),
+       respond = std::move(respond)](const TransactionReply& written) mutable {
+        StoreJobReply reply{.outcome = ToMessage(written.outcome),
+                            .current = {}};
+        if (written.outcome == StoreOutcome::kConflict) {
+          for (const StoredRow& row : written.current)
+            reply.current.push_back(row.value);
+        }
+        log_.Info("job written for another host",
+                  {{"request", record.id},
+                   {"shard", home.scope.id},
+                   {"outcome", StoreOutcomeName(written.outcome)}});
+        respond({.body = Encode(reply)});
+        if (!call.sliced && home.dispatch.is_scheduling() &&
+            IsStored(call.record, written))
+          home.dispatch.OnAccepted(std::move(record));
+      });
+}
+
 void PeerService::ServeJobCall(DispatchService& dispatch,
                                const HttpRequest& request,
                                std::string_view call, Responder respond) {
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -269,6 +269,14 @@
           .removals = {}};
 }
 
+bool IsStored(const std::string& record, const TransactionReply& reply) {
+  return reply.outcome == StoreOutcome::kDone ||
+         (reply.outcome == StoreOutcome::kConflict &&
+          std::any_of(
+              reply.current.begin(), reply.current.end(),
+              [&](const StoredRow& row) { return row.value == record; }));
+}
+
 Duration AcceptTimeout(Duration latest) {
   return std::clamp<Duration>(kAcceptTimeoutFactor * latest, kMinAcceptTimeout,
                               kMaxAcceptTimeout);
