--- a/gypsumfall/overload/admission.cc
+++ b/gypsumfall/overload/admission.cc
@@ -22,7 +22,8 @@
 constexpr double kMeanLearningRate = 0.05;
 
 int SizeOf(CpuTime work) {
-  return std::bit_width(static_cast<std::uint64_t>(work.value()));
+  return static_cast<int>(
+      std::bit_width(static_cast<std::uint64_t>(work.value())));
 }
 
 }  // namespace
