Publish the load of a shard with the renewals of its leader

Cause: hosts that accept jobs do not know the load of the shard. Change: with [overload] load_admission the dispatcher measures the load, and the leader stores a summary in the optional field `load` of its row, made once a second. Without the setting the field is empty and left out of the row.

--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -109,6 +109,7 @@
   if (job == nullptr) return;
   AddRoutineEvent("job submitted", {.job = job->record.id}, RunNumber(), {},
                   "queue " + job->record.queue.str());
+  MeasureAccepted(*job, now);
   OpenDueOccurrences(*job, now);
   ApplyEarlierCompletions(job->record.id, now, wall_now);
 }
@@ -127,6 +128,10 @@
     MakeChunksObsolete(job, number, occurrence);
   if (job.queued_due) due_occurrences_.erase({*job.queued_due, job.record.id});
   backlogged_jobs_.erase(job.record.id);
+  if (settings_.measure_load) {
+    load_meter_.OnEnded(job.record.id, state == JobState::kCompleted,
+                        job.submitted, now);
+  }
   jobs_.RemoveTasksOf(job);
   if (job.slice.IsWhole()) {
     ++unstored_ended_jobs_;
--- a/gypsumfall/dispatch/dispatcher_completions.cc
+++ b/gypsumfall/dispatch/dispatcher_completions.cc
@@ -199,6 +199,7 @@
         }
       }
     }
+    MeasureDone(*job, end.task, now);
     if (job->spec_of(end.task).gang) {
       MarkGangDone(*job, end.task);
     } else {
@@ -233,6 +234,8 @@
   double& learned =
       run_time_ratios_.try_emplace(job.record.queue, 1.0).first->second;
   learned += kRunTimeLearningRate * (ratio - learned);
+  if (settings_.measure_load)
+    load_meter_.OnRunTime(WorkClassOf(job.record), ratio);
 }
 
 void Dispatcher::MarkTaskDone(Job& job, const TaskName& name) {
--- a/gypsumfall/dispatch/dispatcher_moves.cc
+++ b/gypsumfall/dispatch/dispatcher_moves.cc
@@ -166,6 +166,7 @@
   if (job.queued_due) due_occurrences_.erase({*job.queued_due, id});
   job.queued_due.reset();
   backlogged_jobs_.erase(id);
+  load_meter_.OnGivenAway(id);
 }
 
 void Dispatcher::CancelMove(Job& job, Time now) {
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -20,6 +20,7 @@
 #include "gypsumfall/dispatch/internal/worker_messages.h"
 #include "gypsumfall/dispatch/internal/worker_table.h"
 #include "gypsumfall/jobs/jobs.h"
+#include "gypsumfall/overload/overload.h"
 
 namespace gypsumfall {
 
@@ -38,6 +39,8 @@
   Duration ended_retention = std::chrono::minutes(10);
   /// Memory that the jobs of the shard may need; see `IsFull`.
   std::size_t max_job_bytes = std::numeric_limits<std::size_t>::max();
+  /// The load is measured, for `Load`.
+  bool measure_load = false;
 };
 
 /// A row with progress that waits to be stored.
@@ -306,6 +309,11 @@
   std::vector<DispatchEvent> TakeEvents();
   /// @return the load of the shard and the waits of its long-running tasks.
   ShardStatus Status(Time now);
+  /// Summarizes the load of the shard. Must be called about once a second, only
+  /// with `DispatchSettings::measure_load`. The cost is that of `Status`: one
+  /// visit of the steps of jobs that have not ended, and of the runs.
+  /// @param made_at reading of the store's clock at `now`.
+  LoadSummary Load(StoreTime made_at, Time now);
   /// @return the whole state as readable text.
   std::string Dump(Time now) const;
 
@@ -452,6 +460,19 @@
                     Time now) const;
   /// Updates the ratio of actual to declared run times of a queue.
   void LearnRunTime(const Job& job, const Run& run, Time now);
+  /// Adds the work that the job has not done to the load of its class, and the
+  /// work of a run to that of the job of the run.
+  void AddBacklog(const Job& job, std::map<WorkClass, ClassBacklog>& backlogs,
+                  Time now) const;
+  void AddRunBacklog(const TaskName& name, const Run& run,
+                     std::map<WorkClass, ClassBacklog>& backlogs,
+                     Time now) const;
+  /// @return whether the work of the occurrence delays other jobs: it is due,
+  ///   and its job is not overdue.
+  static bool CountsAsLoad(const Job& job, int occurrence, Time now);
+  /// Measures a completed task, or its gang, and a newly accepted job.
+  void MeasureDone(const Job& job, const TaskName& name, Time now);
+  void MeasureAccepted(const Job& job, Time now);
   /// Makes room for new images in the interference model if it is full.
   void ForgetUnusedImages(Time now);
   /// Adds a step to those with ready tasks.
@@ -599,6 +620,7 @@
   dispatch_internal::InterferenceModel interference_;
   /// Ratio of actual to declared run times, smoothed.
   std::unordered_map<QueueId, double> run_time_ratios_;
+  LoadMeter load_meter_;
   std::set<StepRef> ready_steps_;
   Time next_best_effort_round_{};
   Time next_sweep_{};
--- a/gypsumfall/dispatch/overload_test.cc
+++ b/gypsumfall/dispatch/overload_test.cc
@@ -90,5 +90,31 @@
   CHECK(cluster.CompletedWithin(kObjective) >= 40);
 }
 
+// Guards against work that is counted twice or left out, and against jobs that
+// can never be completed and make the shard look busier each minute.
+TEST_CASE("the load is the work of jobs that are not overdue") {
+  SimulatedCluster cluster(2);
+  JobSpec spec;
+  spec.steps.push_back({.task_count = 3,
+                        .need = {MilliCores(8000), MebiBytes(100), {}},
+                        .declared_run_time = kRunTime});
+  spec.steps.push_back(spec.steps.front());
+  spec.steps.back().after = {0};
+  cluster.Submit(cluster.Record("job", spec));
+  spec.steps.front().required_label = WorkerLabel("none");
+  cluster.Submit(cluster.Record("unplaceable", spec));
+  cluster.Advance(kRunTime / 10);
+  LoadSummary summary = cluster.dispatcher().Load({}, cluster.now());
+  REQUIRE(summary.classes.size() == 1);
+  const ClassLoad load = summary.classes.front();
+  CHECK(load.queued == CpuTime(10 * 8000));
+  CHECK(load.running > CpuTime(2 * 7000));
+  CHECK(load.running < CpuTime(2 * 8000));
+  CHECK(load.rate == MilliCores(16'000));
+  cluster.Advance(3 * kObjective);
+  CHECK(cluster.dispatcher().Load({}, cluster.now()).classes.front().queued ==
+        CpuTime(0));
+}
+
 }  // namespace
 }  // namespace gypsumfall
--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -199,6 +199,9 @@
   /// Time from the write of the row in which holders before this one may still
   /// send orders; unset in rows of earlier versions.
   std::optional<milliseconds> predecessor_slack;
+  /// Encoded `LoadSummary` of the shard; empty if the holder makes none, and in
+  /// rows of earlier versions.
+  std::string load;
 
   friend bool operator==(const LeaderRecord&, const LeaderRecord&) = default;
 };
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -258,6 +258,7 @@
   OptionalField(visit, "successor", leader.successor);
   NullableMillisecondsField(visit, "predecessor_slack_ms",
                             leader.predecessor_slack);
+  OptionalField(visit, "load", leader.load);
 }
 
 template <typename Visitor>
--- a/gypsumfall/jobs/jobs_test.cc
+++ b/gypsumfall/jobs/jobs_test.cc
@@ -139,6 +139,17 @@
       R"({"id":"a","queue":"q","state":"melted","ended_at_ms":0})"));
 }
 
+// Guards against leader rows that earlier versions cannot read or that grow
+// although no load is measured.
+TEST_CASE("the load of a leader row is optional") {
+  LeaderRecord leader{.holder = EntryHostId("a")};
+  const std::string without = Encode(leader);
+  CHECK(without.find("load") == std::string::npos);
+  CHECK(*Decode<LeaderRecord>(without) == leader);
+  leader.load = "1 5 0 0 1 1 1 1 100 100";
+  CHECK(*Decode<LeaderRecord>(Encode(leader)) == leader);
+}
+
 TEST_CASE("invalid jobs are rejected") {
   struct Case {
     std::string name;
--- a/gypsumfall/leadership/leadership.cc
+++ b/gypsumfall/leadership/leadership.cc
@@ -231,6 +231,7 @@
   LeaderClaim claim = Renewal(now);
   claim.record.released = true;
   claim.record.full = false;
+  claim.record.load.clear();
   claim.record.successor = std::move(successor);
   return claim;
 }
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -21,6 +21,7 @@
 // lost.
 constexpr Duration kJobScanInterval = milliseconds(1000);
 constexpr Duration kStatusInterval = seconds(1);
+constexpr Duration kLoadInterval = seconds(1);
 
 // Healthy workers answer within milliseconds. A start that is not answered
 // within this time is stopped, and the task is placed again.
@@ -151,7 +152,8 @@
       .max_job_bytes =
           static_cast<std::size_t>(
               context_.settings.scheduling.max_job_memory.value()) /
-          std::max<std::size_t>(1, layout_.layout()->shard_count)};
+          std::max<std::size_t>(1, layout_.layout()->shard_count),
+      .measure_load = context_.settings.overload.load_admission};
   dispatcher_ = std::make_unique<Dispatcher>(
       settings, elector_.lease().record()->epoch, leader_since_);
   const WallTime wall_now = context_.WallNow();
@@ -218,6 +220,8 @@
     LogDispatchEvents();
   }
   dispatcher_.reset();
+  load_.clear();
+  next_load_ = {};
   worker_list_.Unsubscribe(*this);
   job_scan_pending_ = false;
   sliced_read_pending_ = false;
@@ -254,11 +258,12 @@
                        ? dispatcher_->HasRecords()
                        : dispatcher_->HasRecords() && age >= kRecordBatchDelay;
   if (!due && age < kRenewInterval) return;
+  UpdateLoad(now);
   RecordBatch batch = dispatcher_->TakeRecords(kMaxBatchRows);
   RowTransaction rows = BatchTransaction(scope_, batch, elector_.store_clock());
   auto shared_batch = std::make_shared<RecordBatch>(std::move(batch));
   elector_.Store(
-      std::move(rows), dispatcher_->IsFull(),
+      std::move(rows), dispatcher_->IsFull(), load_,
       [this, generation = generation_, now, shared_batch] {
         if (generation != generation_) return;
         store_latency_.Record(context_.Now() - now);
@@ -272,6 +277,28 @@
       });
 }
 
+void DispatchService::UpdateLoad(Time now) {
+  if (!context_.settings.overload.load_admission || now < next_load_) return;
+  const std::optional<StoreTime> made_at =
+      elector_.store_clock().LatestReadingAt(now);
+  // Without the store's clock other hosts cannot tell the age of the summary.
+  if (!made_at) return;
+  next_load_ = now + kLoadInterval;
+  const LoadSummary summary = dispatcher_->Load(*made_at, now);
+  load_ = EncodeLoad(summary);
+  for (const ClassLoad& load : summary.classes) {
+    log_.Info("shard load", {{"shard", scope_.id},
+                             {"priority", load.work_class.priority},
+                             {"best_effort", load.work_class.best_effort},
+                             {"queued_core_ms", load.queued},
+                             {"running_core_ms", load.running},
+                             {"rate_millicores", load.rate},
+                             {"arrivals_millicores", load.arrivals},
+                             {"run_time_percent", load.run_time_percent},
+                             {"wait_percent", load.wait_percent}});
+  }
+}
+
 void DispatchService::OnStored(const RecordBatch& batch) {
   record_batches_.Add();
   for (const JobProgress& ended : batch.ended) {
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -80,6 +80,8 @@
   void SendLease(const LeaseOrder& order);
   void SendThrottle(const ThrottleOrder& order);
   void StoreRecords(Time now);
+  /// Makes a new load summary if one is due and the settings ask for it.
+  void UpdateLoad(Time now);
   void OnStored(const RecordBatch& batch);
   void ScanJobChanges();
   void ReloadJobs(Time scan_started);
@@ -123,6 +125,9 @@
   RowVersion job_scan_version_;
   Time next_job_scan_{};
   Time next_status_{};
+  /// Encoded load summary to store with each renewal; empty if there is none.
+  std::string load_;
+  Time next_load_{};
   bool job_scan_pending_ = false;
   RowVersion sliced_version_;
   Time next_sliced_read_{};
--- a/gypsumfall/scheduler/internal/leader_elector.h
+++ b/gypsumfall/scheduler/internal/leader_elector.h
@@ -51,13 +51,14 @@
   /// may be pending.
   /// @param rows changes in the partition of the shard's scheduler.
   /// @param full see `LeaderRecord`; other hosts read it with the renewal.
+  /// @param load see `LeaderRecord`; other hosts read it with the renewal.
   /// @param stored called after the rows are stored; not called if leadership
   /// is
   ///   lost before.
   /// @param rejected called if the store rejects the transaction for its
   ///   content. Nothing is stored then, and the lease is not renewed.
-  void Store(RowTransaction rows, bool full, std::function<void()> stored,
-             std::function<void()> rejected);
+  void Store(RowTransaction rows, bool full, std::string load,
+             std::function<void()> stored, std::function<void()> rejected);
   bool is_storing() const { return pending_store_.has_value(); }
   /// @return the time at which the latest stored transaction was first sent.
   Time last_stored() const { return last_stored_; }
--- a/gypsumfall/scheduler/leader_elector.cc
+++ b/gypsumfall/scheduler/leader_elector.cc
@@ -205,11 +205,12 @@
       });
 }
 
-void LeaderElector::Store(RowTransaction rows, bool full,
+void LeaderElector::Store(RowTransaction rows, bool full, std::string load,
                           std::function<void()> stored,
                           std::function<void()> rejected) {
   LeaderClaim renewal = lease_.Renewal(context_.Now());
   renewal.record.full = full;
+  renewal.record.load = std::move(load);
   rows.conditions.push_back({LeaderRowAddress(), renewal.expected});
   rows.writes.push_back({LeaderRowAddress(), Encode(renewal.record)});
   pending_store_ = PendingStore{.transaction = std::move(rows),
