Join the constants and names that two parts both define

Cause: the order of steps and the load estimate define kOverdueFactor and DemandOf, which do not compile together. Change: one constant, in ranking; the other name is qualified. Measured: the binary builds.

--- a/gypsumfall/dispatch/dispatcher_load.cc
+++ b/gypsumfall/dispatch/dispatcher_load.cc
@@ -7,15 +7,9 @@
 #include "gypsumfall/dispatch/internal/placement.h"
 
 namespace gypsumfall {
-namespace {
-
-// Work is left out once its job is as old as this multiple of its objective.
-// Such steps rank behind all others and delay no job. Otherwise jobs that can
-// never be completed would add up.
-constexpr int kOverdueFactor = 3;
-
-}  // namespace
 
+// Overdue steps rank behind all others and delay no job. If they counted, jobs
+// that can never be completed would add up.
 bool Dispatcher::CountsAsLoad(const Job& job, int occurrence, Time now) {
   const bool periodic = job.record.spec.repetitions > 0;
   const Time start = periodic ? job.DueOf(occurrence) : job.submitted;
@@ -100,7 +94,7 @@
 
 void Dispatcher::MeasureAccepted(const Job& job, Time now) {
   if (!settings_.measure_load) return;
-  if (const auto demand = DemandOf(job.record))
+  if (const auto demand = gypsumfall::DemandOf(job.record))
     load_meter_.OnAccepted(job.record.id, *demand, now);
 }
 
