Refuse jobs that by the load of their shard cannot end in time

Cause: hosts accept every job, also those that end too late to be of use. Change: with [overload] load_admission, CallerService::Submit refuses a job that by estimate cannot end within three times its objective, unless one of its rows is known or the store does not answer. The Retry-After is the time reserved by the AdmissionController; refusals for other reasons keep theirs. Decisions are counted by reason, and the dump of the callers' service shows the estimates.

--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -20,8 +20,8 @@
 // Bounds of the retry delay that is sent to refused callers. Between the
 // bounds, the delay is the age of the outage: an outage that has lasted longer
 // is likely to last longer, and callers make only a few attempts.
-constexpr Duration kMinRetryAfter = seconds(1);
-constexpr Duration kMaxRetryAfter = seconds(4);
+constexpr Duration kMinOutageRetryAfter = seconds(1);
+constexpr Duration kMaxOutageRetryAfter = seconds(4);
 // Refusals further apart than this count as separate outages.
 constexpr Duration kOutageGap = seconds(2);
 constexpr Duration kStopGrace = seconds(3);
@@ -57,7 +57,15 @@
 
 CallerService::CallerService(Context& context)
     : context_(context),
-      answer_latency_(context.metrics.AddLatency("caller_answer_seconds")) {}
+      answer_latency_(context.metrics.AddLatency("caller_answer_seconds")) {
+  if (!context.settings.overload.load_admission) return;
+  for (std::size_t i = 0; i < kAdmissionReasonCount; ++i) {
+    const std::string_view reason =
+        AdmissionReasonName(static_cast<AdmissionReason>(i));
+    admissions_.at(i) = &context.metrics.AddCounter(
+        "jobs_judged_by_load", {{"reason", std::string(reason)}});
+  }
+}
 
 Result<void> CallerService::Start() {
   topology_ = context_.kernel.Find<TopologyService>(kTopologyService);
@@ -89,8 +97,14 @@
 }
 
 std::string CallerService::Dump() const {
-  return "connections " + std::to_string(server_->connections()) +
-         ", open requests " + std::to_string(server_->open_requests()) + "\n";
+  std::string text = "connections " + std::to_string(server_->connections()) +
+                     ", open requests " +
+                     std::to_string(server_->open_requests()) + "\n";
+  for (const auto& [shard, controller] : admission_) {
+    text += "admission by load, shard " + std::to_string(shard.value()) +
+            ":\n" + controller.Dump();
+  }
+  return text;
 }
 
 void CallerService::Handle(const HttpRequest& request, Responder respond) {
@@ -147,7 +161,58 @@
     RefuseTemporarily(*exchange, "the accepted jobs need all memory");
     return;
   }
-  StoreJob(exchange);
+  if (context_.settings.overload.load_admission) {
+    StoreUnlessTooLate(exchange);
+  } else {
+    StoreJob(exchange);
+  }
+}
+
+std::optional<ObservedLoad> CallerService::LoadOf(const Shard& shard) const {
+  const std::optional<LeaderRecord>& leader = shard.elector.lease().record();
+  const std::optional<StoreTime> store_now =
+      shard.elector.store_clock().LatestReadingAt(context_.Now());
+  if (!leader || leader->load.empty() || !store_now) return std::nullopt;
+  Result<LoadSummary> summary = DecodeLoad(leader->load);
+  if (!summary) return std::nullopt;
+  const Duration age = *store_now - summary->made_at;
+  return ObservedLoad{*std::move(summary), age};
+}
+
+void CallerService::StoreUnlessTooLate(
+    const std::shared_ptr<Exchange>& exchange) {
+  const Shard& shard = *exchange->shard;
+  const AdmissionDecision decision = admission_[shard.scope.id].Decide(
+      exchange->request.job, DemandOf(exchange->record), LoadOf(shard),
+      context_.Now());
+  admissions_.at(static_cast<std::size_t>(decision.reason))->Add();
+  if (decision.accepted) return StoreJob(exchange);
+  LoadState(exchange,
+            [this, exchange, decision](const Result<JobStateReply>& stored) {
+              // An earlier attempt may have stored the job, also if the store
+              // does not answer. The conditional write then finds it.
+              if (!stored || stored->known) return StoreJob(exchange);
+              RefuseForLoad(*exchange, decision);
+            });
+}
+
+void CallerService::RefuseForLoad(Exchange& exchange,
+                                  const AdmissionDecision& decision) {
+  log_.Info(
+      "job refused: it cannot end in time",
+      {{"request", exchange.request.job},
+       {"queue", exchange.request.queue},
+       {"shard", exchange.shard->scope.id},
+       {"priority", exchange.record.terms.priority},
+       {"objective_ms", exchange.record.terms.objective / milliseconds(1)},
+       {"estimated_wait_ms", decision.estimate->wait / milliseconds(1)},
+       {"estimated_completion_ms",
+        decision.estimate->completion / milliseconds(1)},
+       {"waited_ms", decision.waited / milliseconds(1)},
+       {"retry_after_ms", decision.retry_after / milliseconds(1)}});
+  Answer(exchange, {.kind = CallerAnswer::Kind::kTryLater,
+                    .detail = "the job cannot end in time",
+                    .retry_after = decision.retry_after});
 }
 
 bool CallerService::IsFull(const Exchange& exchange) const {
@@ -427,8 +492,9 @@
   last_refusal_ = now;
   Answer(exchange, {.kind = CallerAnswer::Kind::kTryLater,
                     .detail = std::move(detail),
-                    .retry_after = std::clamp<Duration>(
-                        now - outage_since_, kMinRetryAfter, kMaxRetryAfter)});
+                    .retry_after = std::clamp<Duration>(now - outage_since_,
+                                                        kMinOutageRetryAfter,
+                                                        kMaxOutageRetryAfter)});
 }
 
 void CallerService::Answer(Exchange& exchange, const CallerAnswer& answer) {
--- a/gypsumfall/scheduler/internal/caller_service.h
+++ b/gypsumfall/scheduler/internal/caller_service.h
@@ -1,10 +1,14 @@
 #ifndef GYPSUMFALL_SCHEDULER_INTERNAL_CALLER_SERVICE_H_
 #define GYPSUMFALL_SCHEDULER_INTERNAL_CALLER_SERVICE_H_
 
+#include <array>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "gypsumfall/overload/overload.h"
 #include "gypsumfall/scheduler/internal/context.h"
 #include "gypsumfall/scheduler/internal/leader_elector.h"
 #include "gypsumfall/scheduler/internal/peer_service.h"
@@ -34,6 +38,14 @@
   void Submit(const std::shared_ptr<Exchange>& exchange);
   /// @return whether a shard that would run the job accepts no further ones.
   bool IsFull(const Exchange& exchange) const;
+  /// @return the load summary of the shard that was read last, or nothing if
+  ///   it has none or its age is not known.
+  std::optional<ObservedLoad> LoadOf(const Shard& shard) const;
+  /// Stores the job, unless by the load of its shard it cannot end in time and
+  /// no earlier attempt has stored it.
+  void StoreUnlessTooLate(const std::shared_ptr<Exchange>& exchange);
+  /// Answers a job that is refused because of the load.
+  void RefuseForLoad(Exchange& exchange, const AdmissionDecision& decision);
   void StoreJob(const std::shared_ptr<Exchange>& exchange);
   /// Answers a request whose job is stored, and reports the job.
   void OnAccepted(Exchange& exchange);
@@ -84,6 +96,9 @@
   /// Start of the current outage, and time of its latest refused request.
   Time outage_since_{};
   Time last_refusal_{};
+  std::map<ShardId, AdmissionController> admission_;
+  /// Decisions by `AdmissionReason`.
+  std::array<Counter*, kAdmissionReasonCount> admissions_{};
 };
 
 }  // namespace gypsumfall::scheduler_internal
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -376,6 +376,11 @@
   return job.str().find("-gang") != std::string::npos;
 }
 
+/// @return whether the job is best-effort and declares its run time.
+inline bool IsBestEffort(const JobId& job) {
+  return job.str().starts_with("spare");
+}
+
 /// Decodes the requests of tests: "POST /ID" submits a job, "GET /ID" queries
 /// its state, "DELETE /ID" cancels it and "GET /" queries the queue length.
 inline CallerPort FakeCallers() {
@@ -395,6 +400,11 @@
     }
     call.spec.steps[0].required_label = WorkerLabel(RackOf(call.job));
     call.spec.steps[0].gang = IsGang(call.job);
+    if (IsBestEffort(call.job)) {
+      call.spec.steps[0].best_effort = true;
+      call.spec.steps[0].declared_run_time = seconds(1);
+      call.spec.steps[0].need.cpu = MilliCores(1000);
+    }
     if (call.job.empty()) {
       call.kind = Kind::kQueueLength;
     } else if (request.method == HttpMethod::kPost) {
@@ -452,7 +462,8 @@
            InstantWorkers& workers, const std::string& name,
            std::int64_t workers_per_processor = 500,
            double processor_share = 1.0,
-           ByteCount max_job_memory = ByteCount(64 << 20))
+           ByteCount max_job_memory = ByteCount(64 << 20),
+           bool load_admission = false)
       : io_(io),
         caller_port_(io),
         peer_port_(io),
@@ -461,6 +472,7 @@
         ports_{store.Port(), workers.Port(), FakeCallers(), FakeDirectory()} {
     settings_.scheduling.workers_per_processor = workers_per_processor;
     settings_.scheduling.max_job_memory = max_job_memory;
+    settings_.overload.load_admission = load_admission;
     settings_.timings.worker_heartbeat = milliseconds(100);
     settings_.host.id = EntryHostId(name);
     settings_.host.processor_share = processor_share;
--- a/gypsumfall/scheduler/scheduler_test.cc
+++ b/gypsumfall/scheduler/scheduler_test.cc
@@ -229,6 +229,51 @@
   CHECK(std::chrono::steady_clock::now() < deadline);
 }
 
+// Guards against a refused job that was stored all the same, and against the
+// refusal of a job whose first answer was lost.
+TEST_CASE("a job that cannot end in time is refused and not stored") {
+  const bool load_admission = GENERATE(true, false);
+  boost::asio::io_context io;
+  FakeStore store(io);
+  InstantWorkers workers(io);
+  store.Put(ConfigAddress(), "1");
+  store.Put({"workers", "", "w1"}, "");
+  TestHost host(io, store, workers, "a", 500, 1.0, ByteCount(64 << 20),
+                load_admission);
+  const RowAddress leader_row{kLeaderTable, OnlyShard().partition, kLeaderKey};
+  host.RunUntil([&] { return host.dispatch().is_scheduling(); });
+  REQUIRE(host.SendRequest(HttpMethod::kPost, "/spare0").status == 200);
+  const auto stored_leader = [&] {
+    return *Decode<LeaderRecord>(store.Find(leader_row)->value);
+  };
+  host.RunUntil([&] { return stored_leader().renewal >= 2; });
+  CHECK(stored_leader().load.empty() != load_admission);
+
+  // Another host leads the shard and has an hour of work.
+  LeaderRecord other = stored_leader();
+  other.holder = EntryHostId("x");
+  other.process = "process-x";
+  other.load =
+      EncodeLoad({.made_at = StoreTime(std::chrono::duration_cast<Duration>(
+                      std::chrono::steady_clock::now().time_since_epoch())),
+                  .classes = {{.work_class = {.best_effort = true},
+                               .queued = CpuTime(3'600'000),
+                               .rate = MilliCores(1000)}}});
+  store.Put(leader_row, Encode(other));
+  host.RunUntil([&] {
+    const auto& leader = host.elector().lease().record();
+    return leader && leader->holder == other.holder;
+  });
+  const JobId id("spare1");
+  CHECK(host.SendRequest(HttpMethod::kPost, "/spare1").status ==
+        (load_admission ? 503 : 200));
+  CHECK((store.Find(JobAddress(OnlyShard(), id)) == nullptr) == load_admission);
+  // A write whose response was lost, for example on another host.
+  StoreUnreportedJob(store, id);
+  CHECK(host.SendRequest(HttpMethod::kPost, "/spare1").status == 200);
+  CHECK(host.SendRequest(HttpMethod::kPost, "/job1").status == 200);
+}
+
 // Guards against a roster that outgrows a row of the store, so that no worker
 // is used any more.
 TEST_CASE("a shard can have any number of workers") {
