--- a/gypsumfall/dispatch/overload_test.cc
+++ b/gypsumfall/dispatch/overload_test.cc
@@ -107,9 +107,9 @@
   LoadSummary summary = cluster.dispatcher().Load({}, cluster.now());
   REQUIRE(summary.classes.size() == 1);
   const ClassLoad load = summary.classes.front();
-  CHECK(load.queued == CpuTime(10 * 8000));
-  CHECK(load.running > CpuTime(2 * 7000));
-  CHECK(load.running < CpuTime(2 * 8000));
+  CHECK(load.queued == CpuTime(80'000));
+  CHECK(load.running > CpuTime(14'000));
+  CHECK(load.running < CpuTime(16'000));
   CHECK(load.rate == MilliCores(16'000));
   cluster.Advance(3 * kObjective);
   CHECK(cluster.dispatcher().Load({}, cluster.now()).classes.front().queued ==
