--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -433,6 +433,11 @@
   return job.str().find("-gang") != std::string::npos;
 }
 
+/// @return whether the job is best-effort and declares its run time.
+inline bool IsBestEffort(const JobId& job) {
+  return job.str().starts_with("spare");
+}
+
 /// Decodes the requests of tests: "POST /ID" submits a job, "GET /ID" queries
 /// its state, "DELETE /ID" cancels it and "GET /" queries the queue length.
 inline CallerPort FakeCallers() {
@@ -452,6 +457,11 @@
     }
     call.spec.steps[0].required_label = WorkerLabel(RackOf(call.job));
     call.spec.steps[0].gang = IsGang(call.job);
+    if (IsBestEffort(call.job)) {
+      call.spec.steps[0].best_effort = true;
+      call.spec.steps[0].declared_run_time = seconds(1);
+      call.spec.steps[0].need.cpu = MilliCores(1000);
+    }
     if (call.job.empty()) {
       call.kind = Kind::kQueueLength;
     } else if (request.method == HttpMethod::kPost) {
@@ -510,7 +520,7 @@
            std::int64_t workers_per_processor = 500,
            double processor_share = 1.0,
            ByteCount max_job_memory = ByteCount(64 << 20),
-           bool acceptance_relay = false)
+           const OverloadSettings& overload = {})
       : io_(io),
         caller_port_(io),
         peer_port_(io),
@@ -522,7 +532,7 @@
     settings_.scheduling.max_job_memory = max_job_memory;
     settings_.timings.worker_heartbeat = milliseconds(100);
     settings_.timings.evacuation_return = milliseconds(200);
-    settings_.overload.acceptance_relay = acceptance_relay;
+    settings_.overload = overload;
     settings_.host.id = EntryHostId(name);
     settings_.host.processor_share = processor_share;
     settings_.host.listen_callers = {"127.0.0.1", caller_port_.number()};
--- a/gypsumfall/scheduler/internal/sharded_deployment.h
+++ b/gypsumfall/scheduler/internal/sharded_deployment.h
@@ -26,7 +26,8 @@
     for (int i = 0; i < 2; ++i) {
       hosts.push_back(std::make_unique<TestHost>(
           io, store, workers, "h" + std::to_string(i), 2, 1.0,
-          ByteCount(64 << 20), acceptance_relay));
+          ByteCount(64 << 20),
+          OverloadSettings{.acceptance_relay = acceptance_relay}));
     }
     for (auto& host : hosts) {
       host->RunUntil([&] { return host->shards().is_ready(); });
