--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -12,6 +12,9 @@
 
 namespace gypsumfall {
 
+/// Work, in milliseconds of one busy core.
+using CoreMilliseconds = StrongNumber<struct CoreMillisecondsTag, std::int64_t>;
+
 /// State of a job as callers see it.
 enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
@@ -154,6 +157,8 @@
   RunNumber last_run;
   /// A worker has started a task of the job.
   bool started = false;
+  /// The job was moved because of the load, by this move or an earlier one.
+  bool for_load = false;
   JobProgress progress;
   std::vector<ChunkProgress> chunks;
   std::vector<TaskCheckpoint> checkpoints;
@@ -245,15 +250,30 @@
   StepSpec step;
 };
 
+/// A job that its shard could run later, and the wait for that.
+struct LoadOffer {
+  JobOffer offer;
+  /// Time for which the step has waited, and the expected further wait.
+  Duration waited{0};
+  Duration expected_wait{0};
+  /// Work of the steps of the same or higher priority that wait in the shard.
+  CoreMilliseconds backlog;
+};
+
 /// Asks the leader of a shard which of the jobs its workers could run.
 struct OfferJobsRequest {
   std::vector<JobOffer> offers;
+  /// Jobs that are to move only if they start at once. In a list of their own,
+  /// which leaders of earlier versions ignore.
+  std::vector<LoadOffer> load_offers;
 };
 
 /// The jobs that the shard can take, and the epoch of its leader.
 struct OfferJobsReply {
   Epoch epoch;
   std::vector<JobId> wanted;
+  /// The jobs of `load_offers` that the shard would start at once.
+  std::vector<JobId> wanted_for_load;
 };
 
 /// Asks the scheduling host for the state of a job.
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -191,6 +191,7 @@
   visit("number", move.number);
   visit("last_run", move.last_run);
   OptionalField(visit, "started", move.started);
+  OptionalField(visit, "for_load", move.for_load);
   visit("progress", move.progress);
   ListField(visit, "chunks", move.chunks);
   ListField(visit, "checkpoints", move.checkpoints);
@@ -203,15 +204,25 @@
   visit("step", offer.step);
 }
 
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<LoadOffer> auto& load) {
+  visit("offer", load.offer);
+  MillisecondsField(visit, "waited_ms", load.waited);
+  MillisecondsField(visit, "expected_wait_ms", load.expected_wait);
+  visit("backlog", load.backlog);
+}
+
 template <typename Visitor>
 void Fields(Visitor& visit, MaybeConst<OfferJobsRequest> auto& request) {
   visit("offers", request.offers);
+  ListField(visit, "load_offers", request.load_offers);
 }
 
 template <typename Visitor>
 void Fields(Visitor& visit, MaybeConst<OfferJobsReply> auto& reply) {
   visit("epoch", reply.epoch);
   visit("wanted", reply.wanted);
+  ListField(visit, "wanted_for_load", reply.wanted_for_load);
 }
 
 template <typename Visitor>
--- a/gypsumfall/jobs/jobs_test.cc
+++ b/gypsumfall/jobs/jobs_test.cc
@@ -66,6 +66,7 @@
                .number = 3,
                .last_run = RunNumber(2051),
                .started = true,
+               .for_load = true,
                .progress = {.id = id, .queue = QueueId("quotes")},
                .chunks = {},
                .checkpoints = {{{id, 0, 1, 1}, Checkpoint("c1")}}};
@@ -86,6 +87,7 @@
   CHECK(decoded->number == 3);
   CHECK(decoded->last_run == RunNumber(2051));
   CHECK(decoded->started);
+  CHECK(decoded->for_load);
   CHECK(decoded->record.accepted_epoch == Epoch(7));
   CHECK(decoded->record.spec.steps.size() == 2);
   // Leading zeros are not kept.
@@ -103,6 +105,37 @@
   CHECK(decoded->checkpoints[0].checkpoint == Checkpoint("c1"));
 }
 
+// Guards against offers for load that leaders of earlier versions cannot read
+// or take for offers of jobs that no worker could run, and against messages of
+// these leaders that are rejected.
+TEST_CASE("offers for load are additions to the messages") {
+  OfferJobsRequest request;
+  CHECK(Encode(request).find("load") == std::string::npos);
+  LoadOffer load{.offer = {.job = JobId("j"), .terms = {}, .step = {}},
+                 .waited = milliseconds(400),
+                 .expected_wait = seconds(3),
+                 .backlog = CoreMilliseconds(12'000)};
+  request.load_offers.push_back(load);
+  const Result<OfferJobsRequest> decoded =
+      Decode<OfferJobsRequest>(Encode(request));
+  REQUIRE(decoded);
+  CHECK(decoded->offers.empty());
+  REQUIRE(decoded->load_offers.size() == 1);
+  CHECK(decoded->load_offers[0].offer.job == JobId("j"));
+  CHECK(decoded->load_offers[0].waited == milliseconds(400));
+  CHECK(decoded->load_offers[0].expected_wait == seconds(3));
+  CHECK(decoded->load_offers[0].backlog == CoreMilliseconds(12'000));
+  CHECK(Decode<OfferJobsRequest>(R"({"offers":[]})"));
+  const Result<OfferJobsReply> reply =
+      Decode<OfferJobsReply>(R"({"epoch":4,"wanted":["k"]})");
+  REQUIRE(reply);
+  CHECK(reply->wanted.size() == 1);
+  CHECK(reply->wanted_for_load.empty());
+  const std::string encoded =
+      Encode(OfferJobsReply{.epoch = Epoch(4), .wanted = {JobId("k")}});
+  CHECK(encoded.find("load") == std::string::npos);
+}
+
 // Guards against shard 0, which is a valid one, taken for no shard.
 TEST_CASE("a state tells whether the job was moved") {
   for (const std::optional<ShardId> shard :
