Move waiting jobs to the shard that starts them sooner, if asked to

Change: with DispatchSettings::balances_jobs the dispatcher offers jobs of which nothing has run, with their expected wait, and takes those that it would start at once from free room after its own waiting steps. A task waits for its rack no longer than the slack of its job. Without the setting nothing changes. FindUnplaceableStep and MoveJob are split so that both kinds of moves share their checks.

--- a/gypsumfall/dispatch/dispatcher_moves.cc
+++ b/gypsumfall/dispatch/dispatcher_moves.cc
@@ -76,15 +76,18 @@
   });
 }
 
-const StepSpec* Dispatcher::FindUnplaceableStep(const JobId& id, Time now) {
-  Job* job = jobs_.Find(id);
-  if (job == nullptr || !job->slice.IsWhole() || IsFinal(job->state) ||
-      job->moving_to || job->immovable) {
-    return nullptr;
+bool Dispatcher::MayMove(const Job& job) const {
+  if (!job.slice.IsWhole() || IsFinal(job.state) || job.moving_to ||
+      job.immovable) {
+    return false;
   }
   // The job may still run on a worker that has not reported yet.
-  if (!predecessor_runs_known_ && job->record.accepted_epoch < epoch_)
-    return nullptr;
+  return predecessor_runs_known_ || job.record.accepted_epoch >= epoch_;
+}
+
+const StepSpec* Dispatcher::FindUnplaceableStep(const JobId& id, Time now) {
+  Job* job = jobs_.Find(id);
+  if (job == nullptr || !MayMove(*job)) return nullptr;
   for (auto ref = ready_steps_.lower_bound({.job = id});
        ref != ready_steps_.end() && ref->job == id; ++ref) {
     const TaskName name{id, ref->occurrence, ref->step, 0};
@@ -141,8 +144,12 @@
 bool Dispatcher::MoveJob(const JobId& id, ShardId shard, Epoch epoch,
                          Time now) {
   if (FindUnplaceableStep(id, now) == nullptr) return false;
-  Job& job = *jobs_.Find(id);
-  job.moving_to = Job::Destination{.shard = shard, .epoch = epoch};
+  return StartMove(*jobs_.Find(id), {.shard = shard, .epoch = epoch}, now);
+}
+
+bool Dispatcher::StartMove(Job& job, const Job::Destination& destination,
+                           Time now) {
+  job.moving_to = destination;
   Unschedule(job);
   if (Encode(MoveOf(job)).size() > kMaxMoveBytes) {
     CancelMove(job, now);
@@ -219,12 +226,14 @@
                .number = job.move_number + 1,
                .last_run = RunNumber(job.last_run_of_earlier_epochs),
                .started = job.started,
+               .for_load = job.moved_for_load,
                .progress = JobTable::ProgressOf(job),
                .chunks = {},
                .checkpoints = {}};
   if (job.moving_to) {
     move.to = job.moving_to->shard;
     move.record.accepted_epoch = job.moving_to->epoch;
+    move.for_load = move.for_load || job.moving_to->for_load;
   }
   for (const auto& [number, occurrence] : job.occurrences) {
     AddProgressTo(move, job, number);
@@ -258,8 +267,14 @@
     if (moved.finished) ForgetEndedElsewhere(id, moved);
     return;
   }
+  std::string reason = "to shard " + std::to_string(move.to.value());
+  if (job->moving_to && job->moving_to->for_load) {
+    reason += ", expected wait here " +
+              std::to_string(job->offered_wait / milliseconds(1)) +
+              " ms, there 0 ms after the move";
+  }
   AddEvent("job moved to another shard", {.job = id}, move.last_run, {},
-           "to shard " + std::to_string(move.to.value()));
+           std::move(reason));
   for (auto& [number, occurrence] : job->occurrences)
     MakeChunksObsolete(*job, number, occurrence);
   if (job->row.stored) job->obsolete_rows.push_back({.job = id});
@@ -286,6 +301,8 @@
   job->last_run_of_earlier_epochs =
       move.last_run.value() + epochs * kRunsPerEpoch;
   job->move_number = move.number;
+  job->moved_for_load = move.for_load;
+  promised_room_.Remove(move.record.id);
   if (move.home != settings_.shard) job->other_home = move.home;
   jobs_.RestoreMoved(move);
   AddEvent("job moved to this shard", {.job = move.record.id}, move.last_run,
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -482,7 +482,6 @@
 
 Dispatcher::Worker* Dispatcher::WorkerFor(Job& job, const TaskName& name,
                                           Step& step, Time now) {
-  const StepSpec& spec = job.spec_of(name);
   const Task& task = step.tasks[name.index];
   PlacementRequest request = RequestFor(job, name, step);
   Worker* reserved =
@@ -494,7 +493,7 @@
   if (worker == nullptr && !request.rack.empty()) {
     // Once the task has waited for its declared run time, waiting for the rack
     // costs more than a slower run elsewhere.
-    if (now < task.ready_since + spec.declared_run_time) return nullptr;
+    if (now < RackWaitEndOf(job, name, task)) return nullptr;
     request.rack = RackId();
     worker = ChooseWorker(workers_, request, interference_, now);
   }
--- a/gypsumfall/dispatch/dispatcher_reservations.cc
+++ b/gypsumfall/dispatch/dispatcher_reservations.cc
@@ -146,7 +146,7 @@
   const Task& task = step.tasks[name.index];
   // A task that starves waits for its rack no longer than `WorkerFor` does.
   if (task.phase == TaskPhase::kReady &&
-      now >= task.ready_since + request.spec->declared_run_time) {
+      now >= RackWaitEndOf(job, name, task)) {
     request.rack = RackId();
   }
   Worker* worker = ChooseWorker(workers_, request, interference_, now);
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "gypsumfall/balance/balance.h"
 #include "gypsumfall/base/base.h"
 #include "gypsumfall/dispatch/internal/interference.h"
 #include "gypsumfall/dispatch/internal/job_table.h"
@@ -38,6 +39,9 @@
   Duration ended_retention = std::chrono::minutes(10);
   /// Memory that the jobs of the shard may need; see `IsFull`.
   std::size_t max_job_bytes = std::numeric_limits<std::size_t>::max();
+  /// Jobs move to shards that start them sooner, and tasks wait for the rack of
+  /// their data only while their job can be on time.
+  bool balances_jobs = false;
 };
 
 /// A row with progress that waits to be stored.
@@ -222,6 +226,21 @@
   /// @param epoch epoch of the leader that wants the job.
   /// @return whether the job still waits.
   bool MoveJob(const JobId& id, ShardId shard, Epoch epoch, Time now);
+  /// Returns the jobs that another shard may start sooner; none unless
+  /// `DispatchSettings::balances_jobs` is set.
+  /// @return at most `limit` jobs of which nothing has run, for
+  ///   `MoveJobForLoad`.
+  std::vector<LoadOffer> JobsToMoveForLoad(Time now, std::size_t limit);
+  /// Chooses the offered jobs that this shard would start at once from free
+  /// room, after its own waiting steps of the same or higher priority, and
+  /// keeps the room in mind until they arrive.
+  /// @return the chosen jobs; none unless `DispatchSettings::balances_jobs` is
+  ///   set.
+  std::vector<JobId> ChooseForLoad(const std::vector<LoadOffer>& offers,
+                                   Time now);
+  /// Gives a waiting job to a shard that starts it sooner; see `MoveJob`.
+  /// @return whether the job still waits.
+  bool MoveJobForLoad(const JobId& id, ShardId shard, Epoch epoch, Time now);
   /// @return whether a move of the job is being stored, so that it cannot be
   ///   cancelled at the moment.
   bool IsMoving(const JobId& id) const;
@@ -552,6 +571,12 @@
   ///   could run, if the job may be moved; otherwise null.
   const StepSpec* FindUnplaceableStep(const JobId& id, Time now);
   bool HasBoundRun(const Job& job) const;
+  /// @return whether the job may be given away as far as its state tells,
+  ///   except for runs of it that exist.
+  bool MayMove(const Job& job) const;
+  /// Stops scheduling the job and queues the record of its move.
+  /// @return false if its row would be too large.
+  bool StartMove(Job& job, const Job::Destination& destination, Time now);
   /// Removes a job from what is scheduled; its state stays.
   void Unschedule(Job& job);
   /// Schedules a job again whose move was not stored.
@@ -579,6 +604,28 @@
   bool HasUnexpectedRunOf(const JobId& id) const;
   void ApplyDeferredMoves(Time now);
 
+  // Moves of jobs for load.
+  /// A step with ready tasks, and what these need.
+  struct WaitingStep {
+    StepRef ref;
+    int priority = 0;
+    bool best_effort = false;
+    /// For all ready tasks. The work of long-running tasks counts as 0.
+    MilliCores cpu;
+    CoreMilliseconds work;
+  };
+  /// @return the waiting steps that workers of this shard could run, in the
+  ///   order in which they start.
+  std::vector<WaitingStep> WaitingSteps(Time now);
+  /// @return the job of a step if it may move because of the load, else null.
+  Job* FindMovableForLoad(const JobId& id);
+  /// @param ahead processors that go to other steps first.
+  /// @return whether all tasks of the step would start now.
+  bool HasFreeRoomFor(const JobOffer& offer, MilliCores ahead, Time now);
+  /// @return the time until which a task waits for the rack of its data.
+  Time RackWaitEndOf(const Job& job, const TaskName& name,
+                     const Task& task) const;
+
   void StoreEvent(DispatchEvent event);
   void AddEvent(std::string_view message, const TaskName& task, RunNumber run,
                 const WorkerId& worker, std::string reason = {});
@@ -651,6 +698,8 @@
     WallTime wall_received{0};
   };
   std::vector<DeferredMove> deferred_moves_;
+  /// Room for jobs of other shards that move here because of the load.
+  PromisedRoom promised_room_;
   std::size_t unstored_ended_jobs_ = 0;
   /// Workers whose entries in the roster have changed.
   std::set<WorkerId> roster_changes_;
--- a/gypsumfall/dispatch/internal/interleaving.h
+++ b/gypsumfall/dispatch/internal/interleaving.h
@@ -19,6 +19,8 @@
   int takeovers = 0;
   /// Tasks that were transferred, or jobs that were moved.
   int handovers = 0;
+  /// Jobs that were moved because of the load.
+  int load_moves = 0;
   std::vector<std::string> violations;
 };
 
@@ -32,8 +34,11 @@
     std::uint64_t takeover = 1000;
   };
 
-  RandomShards(std::uint64_t seed, Odds odds)
-      : random_(seed), shards_(static_cast<int>(2 + Below(2))), odds_(odds) {}
+  /// @param balances_jobs whether jobs move because of the load.
+  RandomShards(std::uint64_t seed, Odds odds, bool balances_jobs = false)
+      : random_(seed),
+        shards_(static_cast<int>(2 + Below(2)), balances_jobs),
+        odds_(odds) {}
 
   std::uint64_t Below(std::uint64_t bound) { return random_() % bound; }
   bool OneIn(std::uint64_t count) { return Below(count) == 0; }
@@ -91,6 +96,7 @@
     total.faults += report.faults;
     total.takeovers += report.takeovers;
     total.handovers += report.handovers;
+    total.load_moves += report.load_moves;
     for (const std::string& violation : report.violations) {
       total.violations.push_back("seed " + std::to_string(seed) + ": " +
                                  violation);
--- a/gypsumfall/dispatch/internal/job_table.h
+++ b/gypsumfall/dispatch/internal/job_table.h
@@ -97,12 +97,20 @@
   struct Destination {
     ShardId shard;
     Epoch epoch;
+    /// The job moves because it would start there sooner.
+    bool for_load = false;
   };
   std::optional<Destination> moving_to;
   /// Number of offers of the job to other shards, and the time before which it
   /// is not offered again.
   std::uint64_t offers = 0;
   Time next_offer{};
+  /// Time before which it is not offered again for load, and the expected wait
+  /// in the latest of these offers.
+  Time next_load_offer{};
+  Duration offered_wait{0};
+  /// The job was moved to this shard because of the load, now or earlier.
+  bool moved_for_load = false;
   /// The store has rejected a move of the job, or would.
   bool immovable = false;
   /// Home shard, if that is another one.
--- a/gypsumfall/dispatch/internal/placement.h
+++ b/gypsumfall/dispatch/internal/placement.h
@@ -1,6 +1,7 @@
 #ifndef GYPSUMFALL_DISPATCH_INTERNAL_PLACEMENT_H_
 #define GYPSUMFALL_DISPATCH_INTERNAL_PLACEMENT_H_
 
+#include "gypsumfall/balance/balance.h"
 #include "gypsumfall/base/base.h"
 #include "gypsumfall/dispatch/internal/interference.h"
 #include "gypsumfall/dispatch/internal/job_table.h"
@@ -67,6 +68,20 @@
 int CountPlaces(WorkerTable& workers, const PlacementRequest& request,
                 int enough, Time now);
 
+/// Counts the tasks of a step that the workers could start now. The rack of the
+/// data does not count, nor do workers that fail runs.
+/// @param enough number at which counting ends.
+/// @return the number of tasks, at most `enough`.
+int CountFreePlaces(WorkerTable& workers, const PlacementRequest& request,
+                    const InterferenceModel& model, int enough, Time now);
+
+/// @param best_effort whether for best-effort steps, which use what others
+///   leave unused.
+/// @return an estimator for the waits of steps, by the declared run times of
+///   the runs on all workers that accept work.
+WaitEstimator EstimatorFor(const WorkerTable& workers, bool best_effort,
+                           Time now);
+
 }  // namespace gypsumfall::dispatch_internal
 
 #endif  // GYPSUMFALL_DISPATCH_INTERNAL_PLACEMENT_H_
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -88,13 +88,16 @@
                             Resources capacity = {MilliCores(8000),
                                                   MebiBytes(8000),
                                                   Accelerators(0)},
-                            ShardId shard = {}, std::uint64_t other_shards = 0)
+                            ShardId shard = {}, std::uint64_t other_shards = 0,
+                            bool balances_jobs = false)
       : shard_(shard),
         other_shards_(other_shards),
-        dispatcher_(
-            std::in_place,
-            DispatchSettings{.shard = shard, .other_shards = other_shards},
-            Epoch(1), kSimulationStart) {
+        balances_jobs_(balances_jobs),
+        dispatcher_(std::in_place,
+                    DispatchSettings{.shard = shard,
+                                     .other_shards = other_shards,
+                                     .balances_jobs = balances_jobs},
+                    Epoch(1), kSimulationStart) {
     for (int i = 0; i < worker_count; ++i) AddWorker(i, capacity);
     Advance(milliseconds(100));
   }
@@ -162,11 +165,11 @@
     const Epoch epoch = dispatcher_->epoch().Next();
     open_lease_calls_.clear();
     unanswered_batch_.reset();
-    dispatcher_.emplace(
-        DispatchSettings{.shard = shard_,
-                         .other_shards = other_shards_,
-                         .predecessor_slack = predecessor_slack},
-        epoch, now_);
+    dispatcher_.emplace(DispatchSettings{.shard = shard_,
+                                         .other_shards = other_shards_,
+                                         .predecessor_slack = predecessor_slack,
+                                         .balances_jobs = balances_jobs_},
+                        epoch, now_);
     for (const auto& [id, ended] : stored_ended_) {
       dispatcher_->RestoreEnded(ended);
     }
@@ -546,6 +549,7 @@
   Time now_ = kSimulationStart;
   ShardId shard_;
   std::uint64_t other_shards_;
+  bool balances_jobs_ = false;
   std::optional<Dispatcher> dispatcher_;
   std::map<WorkerId, SimulatedWorker> workers_;
   std::vector<std::pair<LeaseOrder, Time>> open_lease_calls_;
--- a/gypsumfall/dispatch/internal/simulated_shards.h
+++ b/gypsumfall/dispatch/internal/simulated_shards.h
@@ -25,11 +25,12 @@
 /// run numbers of a task rise.
 class SimulatedShards {
  public:
-  explicit SimulatedShards(int shard_count) {
+  /// @param balances_jobs whether jobs move because of the load.
+  explicit SimulatedShards(int shard_count, bool balances_jobs = false) {
     for (int i = 0; i < shard_count; ++i) {
       const ShardId shard(static_cast<std::uint64_t>(i));
       shards_.push_back(std::make_unique<Shard>(
-          shard, static_cast<std::uint64_t>(shard_count - 1)));
+          shard, static_cast<std::uint64_t>(shard_count - 1), balances_jobs));
       shards_.back()->cluster.on_transfer_stored =
           [this](const TaskTransfer& transfer) {
             changes_.emplace_back(transfer);
@@ -37,6 +38,8 @@
       shards_.back()->cluster.on_move_stored = [this](const JobMove& move) {
         changes_.emplace_back(move);
         ++move_count_;
+        if (move.for_load && !IsFinal(move.progress.state))
+          ++load_moves_[move.record.id];
       };
       shards_.back()->cluster.on_move_removed = [this, shard](const JobId& id) {
         if (homes_.at(id) == shard) changes_.emplace_back(HomeMoveRemoved{id});
@@ -205,13 +208,17 @@
     const ShardId other_id(static_cast<std::uint64_t>(other));
     const std::vector<JobOffer> offers = giver.cluster.dispatcher().JobsToMove(
         other_id, now(), kMaxJobsPerOffer);
-    if (offers.empty()) return;
+    const std::vector<LoadOffer> load_offers =
+        giver.cluster.dispatcher().JobsToMoveForLoad(now(), kMaxJobsPerOffer);
+    if (offers.empty() && load_offers.empty()) return;
     giver.next_job_offset = giver.next_job_offset % (shard_count() - 1) + 1;
     Dispatcher& receiver = shard(other).dispatcher();
-    JobReply reply{.arrives = now() + reply_delay(),
-                   .shard = other_id,
-                   .epoch = receiver.epoch(),
-                   .wanted = {}};
+    JobReply reply{
+        .arrives = now() + reply_delay(),
+        .shard = other_id,
+        .epoch = receiver.epoch(),
+        .wanted = {},
+        .wanted_for_load = receiver.ChooseForLoad(load_offers, now())};
     for (const JobOffer& offer : offers) {
       if (receiver.WantsJob(offer, now())) reply.wanted.push_back(offer.job);
     }
@@ -249,6 +256,9 @@
   }
   /// @return the number of moves that shards have stored, ends included.
   int move_count() const { return move_count_; }
+  /// @return by job, the number of moves for load and of later moves of the
+  ///   same job before its end.
+  const std::map<JobId, int>& load_moves() const { return load_moves_; }
   /// @return the number of starts of the task in all shards.
   int StartsOf(const TaskName& name) const {
     int count = 0;
@@ -295,11 +305,12 @@
     ShardId shard;
     Epoch epoch;
     std::vector<JobId> wanted;
+    std::vector<JobId> wanted_for_load;
   };
 
   struct Shard {
-    Shard(ShardId id, std::uint64_t other_shards)
-        : cluster(0, {}, id, other_shards) {}
+    Shard(ShardId id, std::uint64_t other_shards, bool balances_jobs)
+        : cluster(0, {}, id, other_shards, balances_jobs) {}
 
     SimulatedCluster cluster;
     bool reads_changes = true;
@@ -371,6 +382,10 @@
       giver.cluster.dispatcher().MoveJob(id, giver.job_reply->shard,
                                          giver.job_reply->epoch, now());
     }
+    for (const JobId& id : giver.job_reply->wanted_for_load) {
+      giver.cluster.dispatcher().MoveJobForLoad(id, giver.job_reply->shard,
+                                                giver.job_reply->epoch, now());
+    }
     giver.job_reply.reset();
   }
 
@@ -408,6 +423,7 @@
   std::vector<std::unique_ptr<Shard>> shards_;
   std::vector<Change> changes_;
   int move_count_ = 0;
+  std::map<JobId, int> load_moves_;
   /// Home shards of the jobs that are not sliced.
   std::map<JobId, ShardId> homes_;
   std::map<TaskName, LatestRun> latest_runs_;
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -160,6 +160,36 @@
   return places;
 }
 
+// @return how many of the tasks, at most `limit`, the worker could start now.
+int CountFreePlacesOn(const Worker& worker, const PlacementRequest& request,
+                      const InterferenceModel& model, int limit, Time now) {
+  Resources need = request.spec->need;
+  Resources free = FreeResourcesFor(worker, request.priority);
+  if (request.spec->best_effort) {
+    if (model.ShortfallAfterPlacing(worker, request.image, need.cpu, now) >
+        kMaxShortfall) {
+      return 0;
+    }
+    const auto cpu = static_cast<double>(need.cpu.value());
+    const double unused = UnusedProcessors(worker);
+    if (unused < kMinUnusedShare * cpu) return 0;
+    // The last of them finds at least the minimum share.
+    const double places = (unused - kMinUnusedShare * cpu) / cpu + 1;
+    if (places < limit) limit = static_cast<int>(places);
+    need.cpu = MilliCores(0);
+  }
+  int places = 0;
+  for (; places < limit && need.FitsIn(free); ++places) free -= need;
+  return places;
+}
+
+// @return the time until the run ends, by its declared run time.
+Duration RemainingTime(const Worker& worker, const Run& run, Time now) {
+  const Duration expected(static_cast<std::int64_t>(
+      worker.slowdown * static_cast<double>(run.declared.count())));
+  return std::max(Duration{0}, run.started_at + expected - now);
+}
+
 }  // namespace
 
 bool AcceptsWork(const Worker& worker, Time now) {
@@ -176,10 +206,7 @@
   std::vector<std::pair<Duration, Resources>> ending;
   for (const auto& [task, run] : worker.runs) {
     if (run.long_running) continue;
-    const Duration expected(static_cast<std::int64_t>(
-        worker.slowdown * static_cast<double>(run.declared.count())));
-    ending.emplace_back(std::max(Duration{0}, run.started_at + expected - now),
-                        run.need);
+    ending.emplace_back(RemainingTime(worker, run, now), run.need);
   }
   std::sort(ending.begin(), ending.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -251,4 +278,44 @@
   return places;
 }
 
+int CountFreePlaces(WorkerTable& workers, const PlacementRequest& request,
+                    const InterferenceModel& model, int enough, Time now) {
+  const int limit_per_worker =
+      request.spec->max_per_worker > 0 ? request.spec->max_per_worker : enough;
+  int places = 0;
+  for (auto& [id, worker] : workers) {
+    if (!IsEligible(worker, request, now) || FailsRuns(worker, now)) continue;
+    places +=
+        CountFreePlacesOn(worker, request, model,
+                          std::min(limit_per_worker, enough - places), now);
+    if (places >= enough) break;
+  }
+  return places;
+}
+
+WaitEstimator EstimatorFor(const WorkerTable& workers, bool best_effort,
+                           Time now) {
+  std::int64_t free = 0;
+  std::int64_t capacity = 0;
+  std::vector<CpuRelease> releases;
+  for (const auto& [id, worker] : workers) {
+    if (!AcceptsWork(worker, now) || FailsRuns(worker, now)) continue;
+    capacity +=
+        worker.entry.capacity.cpu.value() -
+        static_cast<std::int64_t>(
+            (best_effort ? 1 - kUnusedShareOfReserved : 1) *
+            static_cast<double>(worker.used_by_long_running.cpu.value()));
+    free += std::max<std::int64_t>(
+        0, best_effort ? static_cast<std::int64_t>(UnusedProcessors(worker))
+                       : FreeResources(worker).cpu.value());
+    for (const auto& [task, run] : worker.runs) {
+      if (run.long_running || (run.best_effort && !best_effort)) continue;
+      releases.push_back(
+          {RemainingTime(worker, run, now),
+           run.best_effort ? run.best_effort_cpu : run.need.cpu});
+    }
+  }
+  return {MilliCores(free), MilliCores(capacity), std::move(releases)};
+}
+
 }  // namespace gypsumfall::dispatch_internal
