--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -55,6 +55,7 @@
       rejected_batches_(context.metrics.AddCounter("record_batches_rejected")),
       transfers_(context.metrics.AddCounter("tasks_transferred")),
       moves_(context.metrics.AddCounter("jobs_moved")),
+      moves_for_load_(context.metrics.AddCounter("jobs_moved_for_load")),
       store_latency_(context.metrics.AddLatency("record_store_seconds")),
       takeover_time_(context.metrics.AddLatency("takeover_seconds")),
       free_cpu_(context.metrics.AddGauge("shard_free_millicores",
@@ -151,7 +152,8 @@
       .max_job_bytes =
           static_cast<std::size_t>(
               context_.settings.scheduling.max_job_memory.value()) /
-          std::max<std::size_t>(1, layout_.layout()->shard_count)};
+          std::max<std::size_t>(1, layout_.layout()->shard_count),
+      .balances_jobs = context_.settings.overload.job_balancing};
   dispatcher_ = std::make_unique<Dispatcher>(
       settings, elector_.lease().record()->epoch, leader_since_);
   const WallTime wall_now = context_.WallNow();
--- a/gypsumfall/scheduler/dispatch_service_jobs.cc
+++ b/gypsumfall/scheduler/dispatch_service_jobs.cc
@@ -237,17 +237,21 @@
   RunCycleSoon();
 }
 
-std::vector<JobOffer> DispatchService::JobsToMove(ShardId other,
-                                                  std::size_t limit) {
-  return dispatcher_->JobsToMove(other, context_.Now(), limit);
+OfferJobsRequest DispatchService::JobsToMove(ShardId other, std::size_t limit) {
+  const Time now = context_.Now();
+  return {.offers = dispatcher_->JobsToMove(other, now, limit),
+          .load_offers = dispatcher_->JobsToMoveForLoad(now, limit)};
 }
 
 OfferJobsReply DispatchService::ChooseOffered(const OfferJobsRequest& request) {
-  OfferJobsReply reply{.epoch = dispatcher_->epoch(), .wanted = {}};
+  OfferJobsReply reply{
+      .epoch = dispatcher_->epoch(), .wanted = {}, .wanted_for_load = {}};
   for (const JobOffer& offer : request.offers) {
     if (dispatcher_->WantsJob(offer, context_.Now()))
       reply.wanted.push_back(offer.job);
   }
+  reply.wanted_for_load =
+      dispatcher_->ChooseForLoad(request.load_offers, context_.Now());
   return reply;
 }
 
@@ -257,6 +261,12 @@
     if (dispatcher_->MoveJob(id, shard, reply.epoch, context_.Now()))
       moves_.Add();
   }
+  for (const JobId& id : reply.wanted_for_load) {
+    if (!dispatcher_->MoveJobForLoad(id, shard, reply.epoch, context_.Now()))
+      continue;
+    moves_.Add();
+    moves_for_load_.Add();
+  }
   RunCycleSoon();
 }
 
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -59,10 +59,12 @@
   /// Gives tasks to a shard that has reserved workers for them.
   void TransferTasks(const std::vector<TaskName>& tasks, ShardId shard);
   /// @param other shard that is offered the jobs.
-  /// @return at most `limit` jobs that no worker of this shard could run. Must
-  ///   be called only while scheduling, like `ChooseOffered`.
-  std::vector<JobOffer> JobsToMove(ShardId other, std::size_t limit);
-  /// Chooses the offered jobs that workers of this shard could run.
+  /// @return at most `limit` jobs that no worker of this shard could run, and
+  ///   at most as many that another shard may start sooner. Must be called only
+  ///   while scheduling, like `ChooseOffered`.
+  OfferJobsRequest JobsToMove(ShardId other, std::size_t limit);
+  /// Chooses the offered jobs that workers of this shard could run, or would
+  /// start at once.
   OfferJobsReply ChooseOffered(const OfferJobsRequest& request);
   /// Gives jobs to a shard that wants them.
   void MoveJobs(const OfferJobsReply& reply, ShardId shard);
@@ -142,6 +144,7 @@
   Counter& rejected_batches_;
   Counter& transfers_;
   Counter& moves_;
+  Counter& moves_for_load_;
   LatencyHistogram& store_latency_;
   LatencyHistogram& takeover_time_;
   /// The shard's status, while this host is its leader.
--- a/gypsumfall/scheduler/transfer_service.cc
+++ b/gypsumfall/scheduler/transfer_service.cc
@@ -82,13 +82,13 @@
 void TransferService::OfferJobs(Shard& shard, Search& search) {
   Shard& other_shard = NextShard(shard, search);
   const ShardId other = other_shard.scope.id;
-  std::vector<JobOffer> offers =
+  const OfferJobsRequest request =
       shard.dispatch.JobsToMove(other, kMaxJobsPerRequest);
-  if (offers.empty()) return;
+  if (request.offers.empty() && request.load_offers.empty()) return;
   Advance(search);
   search.pending = true;
   peers_->OfferJobs(
-      other_shard, {.offers = std::move(offers)}, kRequestTimeout,
+      other_shard, request, kRequestTimeout,
       [this, &shard, &search, other](const Result<OfferJobsReply>& reply) {
         search.pending = false;
         if (!reply) {
