Merge the rest of the balance of jobs; bound the age of evacuations by a setting

Cause: a leader that could not read the operator's rows for 4 s started nothing, also where no bound for evacuations is stated.

--- a/gypsumfall/evacuation/evacuation.h
+++ b/gypsumfall/evacuation/evacuation.h
@@ -31,9 +31,8 @@
   /// Time over which the workers of a data centre return.
   Duration return_time = seconds(3);
   /// Age of the latest read above which it is not known any more what is
-  /// closed. The operator may count on a closure after 5 s; the rest is for
-  /// start orders that are on their way.
-  Duration max_age = seconds(4);
+  /// closed; unset if the latest read holds until the next one.
+  std::optional<Duration> max_age;
 };
 
 /// Time in which tasks may start on a worker, judged by what is known now.
@@ -89,7 +88,8 @@
 
  private:
   Time KnownUntil() const {
-    return known_at_ ? *known_at_ + terms_.max_age : Time::min();
+    if (!known_at_) return Time::min();
+    return terms_.max_age ? *known_at_ + *terms_.max_age : Time::max();
   }
 
   EvacuationTerms terms_;
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -58,6 +58,7 @@
       rejected_batches_(context.metrics.AddCounter("record_batches_rejected")),
       transfers_(context.metrics.AddCounter("tasks_transferred")),
       moves_(context.metrics.AddCounter("jobs_moved")),
+      moves_for_load_(context.metrics.AddCounter("jobs_moved_for_load")),
       store_latency_(context.metrics.AddLatency("record_store_seconds")),
       takeover_time_(context.metrics.AddLatency("takeover_seconds")),
       free_cpu_(context.metrics.AddGauge("shard_free_millicores",
@@ -172,7 +173,8 @@
               context_.settings.scheduling.max_job_memory.value()) /
           std::max<std::size_t>(1, layout_.layout()->shard_count),
       .order_by_loss = context_.settings.overload.order_by_loss,
-      .measure_load = context_.settings.overload.load_admission};
+      .measure_load = context_.settings.overload.load_admission,
+      .balances_jobs = context_.settings.overload.job_balancing};
   dispatcher_ = std::make_unique<Dispatcher>(
       settings, elector_.lease().record()->epoch, leader_since_);
   // What this host knew before its claim may be old: it may have been frozen or
--- a/gypsumfall/scheduler/topology_service.cc
+++ b/gypsumfall/scheduler/topology_service.cc
@@ -20,18 +20,26 @@
 constexpr Duration kChangeWait = milliseconds(1000);
 constexpr Duration kFirstRetryDelay = milliseconds(50);
 constexpr Duration kMaxRetryDelay = milliseconds(400);
-// Maximum age of what is known of the evacuations. The platform lets a task
-// start in a data centre for 5,000 ms after the operator has closed it
-// (`evacuationMs`); a start order may take 500 ms to arrive.
-constexpr Duration kMaxEvacuationAge = milliseconds(4000);
+// Part of the bound of an evacuation that is left for start orders, which may
+// take 500 ms to arrive, and for the delay of the scheduling cycle.
+constexpr Duration kEvacuationMargin = milliseconds(1000);
+
+EvacuationTerms TermsOf(const SchedulerTimings& timings) {
+  EvacuationTerms terms{.return_time = timings.evacuation_return,
+                        .max_age = {}};
+  if (timings.evacuation_bound > Duration{0}) {
+    terms.max_age =
+        std::max(Duration{0}, timings.evacuation_bound - kEvacuationMargin);
+  }
+  return terms;
+}
 
 }  // namespace
 
 TopologyService::TopologyService(Context& context)
     : context_(context),
       retry_(context.runtime, [this] { ReadAll(); }),
-      evacuations_({.return_time = context.settings.timings.evacuation_return,
-                    .max_age = kMaxEvacuationAge}),
+      evacuations_(TermsOf(context.settings.timings)),
       evacuated_data_centres_(
           context.metrics.AddGauge("evacuated_data_centres")) {}
 
--- a/gypsumfall/settings/internal/scheduler_settings.h
+++ b/gypsumfall/settings/internal/scheduler_settings.h
@@ -38,6 +38,10 @@
   Duration ended_retention = std::chrono::minutes(10);
   /// Interval at which workers renew their entry in the worker list.
   Duration worker_heartbeat = milliseconds(1000);
+  /// Time after which no task may start in a data centre that the operator has
+  /// closed. A leader that could not read the evacuations for so long starts
+  /// nothing. 0 if there is no bound.
+  Duration evacuation_bound{0};
   /// Time over which the workers of a data centre return to service after its
   /// evacuation has ended.
   Duration evacuation_return = seconds(3);
