--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -531,6 +531,7 @@
     settings_.scheduling.workers_per_processor = workers_per_processor;
     settings_.scheduling.max_job_memory = max_job_memory;
     settings_.timings.worker_heartbeat = milliseconds(100);
+    settings_.timings.evacuation_bound = seconds(5);
     settings_.timings.evacuation_return = milliseconds(200);
     settings_.overload = overload;
     settings_.host.id = EntryHostId(name);
