--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -29,12 +29,15 @@
       static_cast<double>(settings.max_lease.count()) / kMinWorkerClockRate));
   predecessor_leases_end_ =
       now + settings.predecessor_slack + longest + kLeaseSlack;
+  if (settings.order_by_loss) order_ = LossOrder(settings.loss_terms);
 }
 
 Dispatcher::Job* Dispatcher::AddJob(JobRecord record, JobSlice slice, Time now,
                                     WallTime wall_now) {
   Job* job = jobs_.Add(std::move(record), slice, now, wall_now);
   if (job == nullptr) return nullptr;
+  if (settings_.order_by_loss && job->work > CoreSeconds(0))
+    mean_work_[job->record.queue].Add(job->work);
   // Earlier epochs may have started the job, also if it was accepted after this
   // epoch had read the stored jobs.
   const std::uint64_t epochs_since_acceptance =
@@ -109,6 +112,7 @@
   if (job == nullptr) return;
   AddRoutineEvent("job submitted", {.job = job->record.id}, RunNumber(), {},
                   "queue " + job->record.queue.str());
+  MeasureAccepted(*job, now);
   OpenDueOccurrences(*job, now);
   ApplyEarlierCompletions(job->record.id, now, wall_now);
 }
@@ -127,6 +131,10 @@
     MakeChunksObsolete(job, number, occurrence);
   if (job.queued_due) due_occurrences_.erase({*job.queued_due, job.record.id});
   backlogged_jobs_.erase(job.record.id);
+  if (settings_.measure_load) {
+    load_meter_.OnEnded(job.record.id, state == JobState::kCompleted,
+                        job.submitted, now);
+  }
   jobs_.RemoveTasksOf(job);
   if (job.slice.IsWhole()) {
     ++unstored_ended_jobs_;
@@ -292,6 +300,8 @@
       status.capacity = MilliCores(status.capacity.value() + capacity.value());
       status.largest_free = std::max(status.largest_free, free);
     }
+    if (worker.listed && !dispatch_internal::IsOpen(worker, now))
+      ++status.held_back_workers;
     if (!worker.listed || !worker.entry.draining) continue;
     ++status.draining_workers;
     for (const auto& [name, run] : worker.runs) {
@@ -299,6 +309,12 @@
     }
   }
   status.waiting_steps = ready_steps_.size();
+  status.steps_moved_up = steps_moved_up_;
+  if (!ready_steps_.empty()) {
+    status.passed_over_steps = ranking_.passed_over;
+    status.longest_passed_over_wait = ranking_.longest_passed_over_wait;
+    status.overloaded_priorities = ranking_.overloaded.size();
+  }
   status.jobs = jobs_.size();
   status.job_bytes = jobs_.bytes();
   for (const auto& [id, job] : jobs_) {
@@ -362,6 +378,7 @@
         << worker.used.ToString() << " of " << worker.entry.capacity.ToString()
         << (worker.listed ? "" : ", not listed")
         << (worker.entry.draining ? ", draining" : "")
+        << (dispatch_internal::IsOpen(worker, now) ? "" : ", held back")
         << (worker.fenced ? "" : ", not fenced")
         << (IsUnresponsive(worker, now) ? ", silent" : "") << ", ends "
         << worker.processed << "/" << worker.acknowledged << "\n";
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -11,15 +11,20 @@
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 #include <vector>
 
+#include "gypsumfall/balance/balance.h"
 #include "gypsumfall/base/base.h"
 #include "gypsumfall/dispatch/internal/interference.h"
 #include "gypsumfall/dispatch/internal/job_table.h"
 #include "gypsumfall/dispatch/internal/placement.h"
 #include "gypsumfall/dispatch/internal/worker_messages.h"
 #include "gypsumfall/dispatch/internal/worker_table.h"
+#include "gypsumfall/evacuation/evacuation.h"
 #include "gypsumfall/jobs/jobs.h"
+#include "gypsumfall/overload/overload.h"
+#include "gypsumfall/ranking/ranking.h"
 
 namespace gypsumfall {
 
@@ -38,6 +43,16 @@
   Duration ended_retention = std::chrono::minutes(10);
   /// Memory that the jobs of the shard may need; see `IsFull`.
   std::size_t max_job_bytes = std::numeric_limits<std::size_t>::max();
+  /// Waiting steps are ordered by what their callers lose by waiting, otherwise
+  /// by objective.
+  bool order_by_loss = false;
+  /// What jobs are worth; used if they are ordered by loss.
+  LossTerms loss_terms;
+  /// The load is measured, for `Load`.
+  bool measure_load = false;
+  /// Jobs move to shards that start them sooner, and tasks wait for the rack of
+  /// their data only while their job can be on time.
+  bool balances_jobs = false;
 };
 
 /// A row with progress that waits to be stored.
@@ -120,9 +135,21 @@
   /// Largest number of free processors on one of them.
   MilliCores largest_free;
   int draining_workers = 0;
+  /// Listed workers on which no task starts because their data centre is closed
+  /// or they are still returning.
+  int held_back_workers = 0;
   /// Runs of long-running tasks on draining workers.
   int long_running_on_draining = 0;
   std::size_t waiting_steps = 0;
+  /// Waiting steps that stand behind their place by objective, and the longest
+  /// wait of one of them; 0 unless steps are ordered by loss.
+  std::size_t passed_over_steps = 0;
+  Duration longest_passed_over_wait{0};
+  /// Number of priorities whose queued work does not fit before its objectives.
+  std::size_t overloaded_priorities = 0;
+  /// Number of steps that this leader has moved up because they were passed
+  /// over for longer than their objectives.
+  std::uint64_t steps_moved_up = 0;
   /// What the memory for jobs depends on: the known jobs, ended ones included,
   /// the occurrences that have begun, and the tasks that have had a run there.
   std::size_t jobs = 0;
@@ -222,6 +249,21 @@
   /// @param epoch epoch of the leader that wants the job.
   /// @return whether the job still waits.
   bool MoveJob(const JobId& id, ShardId shard, Epoch epoch, Time now);
+  /// Returns the jobs that another shard may start sooner; none unless
+  /// `DispatchSettings::balances_jobs` is set.
+  /// @return at most `limit` jobs of which nothing has run, for
+  ///   `MoveJobForLoad`.
+  std::vector<LoadOffer> JobsToMoveForLoad(Time now, std::size_t limit);
+  /// Chooses the offered jobs that this shard would start at once from free
+  /// room, after its own waiting steps of the same or higher priority, and
+  /// keeps the room in mind until they arrive.
+  /// @return the chosen jobs; none unless `DispatchSettings::balances_jobs` is
+  ///   set.
+  std::vector<JobId> ChooseForLoad(const std::vector<LoadOffer>& offers,
+                                   Time now);
+  /// Gives a waiting job to a shard that starts it sooner; see `MoveJob`.
+  /// @return whether the job still waits.
+  bool MoveJobForLoad(const JobId& id, ShardId shard, Epoch epoch, Time now);
   /// @return whether a move of the job is being stored, so that it cannot be
   ///   cancelled at the moment.
   bool IsMoving(const JobId& id) const;
@@ -234,6 +276,11 @@
   /// @return the jobs that were moved and have not ended, as far as known.
   std::vector<JobId> MovedJobs() const;
 
+  /// Sets on which workers tasks may start. What runs on the others goes on.
+  /// Without any call, tasks may start on all workers; a leader must call this
+  /// before the first call of `Decide`.
+  void ApplyEvacuations(const EvacuationSet& evacuations);
+
   /// Adds a worker of the worker list, or updates its entry.
   void OnWorkerListed(WorkerEntry entry, Time now);
   /// Handles the removal of a worker from the worker list; its runs may
@@ -306,6 +353,11 @@
   std::vector<DispatchEvent> TakeEvents();
   /// @return the load of the shard and the waits of its long-running tasks.
   ShardStatus Status(Time now);
+  /// Summarizes the load of the shard. Must be called about once a second, only
+  /// with `DispatchSettings::measure_load`. The cost is that of `Status`: one
+  /// visit of the steps of jobs that have not ended, and of the runs.
+  /// @param made_at reading of the store's clock at `now`.
+  LoadSummary Load(StoreTime made_at, Time now);
   /// @return the whole state as readable text.
   std::string Dump(Time now) const;
 
@@ -404,6 +456,7 @@
   // Workers.
   void UpdateClock(Worker& worker, const std::optional<WorkerTime>& clock,
                    Time sent, Time now);
+  void UpdateOpenPeriod(Worker& worker) const;
   void ResetForIncarnation(Worker& worker, WallTime incarnation, Time now);
   void ApplyRunReports(Worker& worker, const LeaseReply& reply, Time sent,
                        Time now);
@@ -433,25 +486,21 @@
   void AddStopOrders(Time now, std::vector<Order>& orders);
   void AddStopOrder(Worker& worker, const TaskName& name, Run& run, Time now,
                     std::vector<Order>& orders);
-  /// Rank of steps of one priority.
-  enum class Urgency {
-    /// Can still meet its objective.
-    kOnTime,
-    /// Long-running and waiting for longer than its objective. Ranks before
-    /// other late steps, because each moment of waiting is lost service time.
-    kLateLongRunning,
-    /// Can no longer meet its objective, but its caller may still wait.
-    kLate,
-    /// So late that its caller no longer waits. Such jobs run when nothing else
-    /// needs the resources.
-    kOverdue,
-  };
-
-  static Time ObjectiveOf(const Job& job, const StepRef& ref);
-  Urgency UrgencyOf(const Job& job, const StepRef& ref, Time objective,
-                    Time now) const;
   /// Updates the ratio of actual to declared run times of a queue.
   void LearnRunTime(const Job& job, const Run& run, Time now);
+  /// Adds the work that the job has not done to the load of its class, and the
+  /// work of a run to that of the job of the run.
+  void AddBacklog(const Job& job, std::map<WorkClass, ClassBacklog>& backlogs,
+                  Time now) const;
+  void AddRunBacklog(const TaskName& name, const Run& run,
+                     std::map<WorkClass, ClassBacklog>& backlogs,
+                     Time now) const;
+  /// @return whether the work of the occurrence delays other jobs: it is due,
+  ///   and its job is not overdue.
+  static bool CountsAsLoad(const Job& job, int occurrence, Time now);
+  /// Measures a completed task, or its gang, and a newly accepted job.
+  void MeasureDone(const Job& job, const TaskName& name, Time now);
+  void MeasureAccepted(const Job& job, Time now);
   /// Makes room for new images in the interference model if it is full.
   void ForgetUnusedImages(Time now);
   /// Adds a step to those with ready tasks.
@@ -462,7 +511,6 @@
   /// @return the job of a step with ready tasks, or null if the job or its
   ///   occurrence has ended since.
   Job* FindJobOf(const StepRef& ref);
-  std::vector<StepRef> RankSteps(Time now);
   void AddStartOrders(Time now, std::vector<Order>& orders);
   /// @param reason_without_places reason to log if the shard has no worker that
   ///   could run the step; empty if that makes no difference.
@@ -494,6 +542,26 @@
   StartOrder PlaceRun(Worker& worker, Job& job, const TaskName& name,
                       Task& task, Time now);
 
+  // Order of the waiting steps.
+  static Time ObjectiveOf(const Job& job, const StepRef& ref);
+  /// @return the step as its order needs to know it. Its cost depends on the
+  ///   number of steps of the job, not on that of its tasks.
+  StepDemand DemandOf(const Job& job, const StepRef& ref) const;
+  /// @return the ratio of actual to declared run times of the queue of the job;
+  ///   at least 1.
+  double RunTimeRatioOf(const Job& job) const;
+  /// Counts the processors and the work of running jobs, at most once in an
+  /// interval.
+  void UpdateCapacity(Time now);
+  /// @param best_effort_priorities for each priority whether its steps are
+  ///   best-effort ones.
+  std::vector<PriorityCapacity> CapacitiesFor(
+      const std::map<int, bool>& best_effort_priorities) const;
+  /// @return the steps with ready tasks, first to start first.
+  std::vector<StepRef> RankSteps(Time now);
+  /// Keeps the job of a step at the front of its priority from now on.
+  void MoveUp(const StepRef& ref, const StepDemand& demand, Time now);
+
   // Reservations.
   /// Limits the searches for workers to reserve, each of which looks at all
   /// workers.
@@ -552,6 +620,12 @@
   ///   could run, if the job may be moved; otherwise null.
   const StepSpec* FindUnplaceableStep(const JobId& id, Time now);
   bool HasBoundRun(const Job& job) const;
+  /// @return whether the job may be given away as far as its state tells,
+  ///   except for runs of it that exist.
+  bool MayMove(const Job& job) const;
+  /// Stops scheduling the job and queues the record of its move.
+  /// @return false if its row would be too large.
+  bool StartMove(Job& job, const Job::Destination& destination, Time now);
   /// Removes a job from what is scheduled; its state stays.
   void Unschedule(Job& job);
   /// Schedules a job again whose move was not stored.
@@ -579,6 +653,28 @@
   bool HasUnexpectedRunOf(const JobId& id) const;
   void ApplyDeferredMoves(Time now);
 
+  // Moves of jobs for load.
+  /// A step with ready tasks, and what these need.
+  struct WaitingStep {
+    StepRef ref;
+    int priority = 0;
+    bool best_effort = false;
+    /// For all ready tasks. The work of long-running tasks counts as 0.
+    MilliCores cpu;
+    CoreMilliseconds work;
+  };
+  /// @return the waiting steps that workers of this shard could run, in the
+  ///   order in which they start.
+  std::vector<WaitingStep> WaitingSteps(Time now);
+  /// @return the job of a step if it may move because of the load, else null.
+  Job* FindMovableForLoad(const JobId& id);
+  /// @param ahead processors that go to other steps first.
+  /// @return whether all tasks of the step would start now.
+  bool HasFreeRoomFor(const JobOffer& offer, MilliCores ahead, Time now);
+  /// @return the time until which a task waits for the rack of its data.
+  Time RackWaitEndOf(const Job& job, const TaskName& name,
+                     const Task& task) const;
+
   void StoreEvent(DispatchEvent event);
   void AddEvent(std::string_view message, const TaskName& task, RunNumber run,
                 const WorkerId& worker, std::string reason = {});
@@ -596,10 +692,29 @@
 
   dispatch_internal::JobTable jobs_;
   dispatch_internal::WorkerTable workers_;
+  std::optional<EvacuationSet> evacuations_;
   dispatch_internal::InterferenceModel interference_;
   /// Ratio of actual to declared run times, smoothed.
   std::unordered_map<QueueId, double> run_time_ratios_;
+  LoadMeter load_meter_;
   std::set<StepRef> ready_steps_;
+  std::variant<ObjectiveOrder, LossOrder> order_;
+  /// Mean work of the jobs of a queue.
+  std::unordered_map<QueueId, MeanWork> mean_work_;
+  /// The latest ranking of the ready steps.
+  Ranking ranking_;
+  std::uint64_t steps_moved_up_ = 0;
+  /// Processors of the workers that accept work, in cores, and what uses them.
+  struct Capacity {
+    /// For tasks of finite length that reserve processors.
+    double reserving = 0;
+    double best_effort = 0;
+    /// Work left of running jobs without a waiting step, by priority, in
+    /// core-seconds.
+    std::map<int, double> committed;
+  };
+  Capacity capacity_;
+  Time next_capacity_update_{};
   Time next_best_effort_round_{};
   Time next_sweep_{};
   Time next_image_cleanup_{};
@@ -651,6 +766,8 @@
     WallTime wall_received{0};
   };
   std::vector<DeferredMove> deferred_moves_;
+  /// Room for jobs of other shards that move here because of the load.
+  PromisedRoom promised_room_;
   std::size_t unstored_ended_jobs_ = 0;
   /// Workers whose entries in the roster have changed.
   std::set<WorkerId> roster_changes_;
--- a/gypsumfall/dispatch/internal/placement.h
+++ b/gypsumfall/dispatch/internal/placement.h
@@ -1,6 +1,7 @@
 #ifndef GYPSUMFALL_DISPATCH_INTERNAL_PLACEMENT_H_
 #define GYPSUMFALL_DISPATCH_INTERNAL_PLACEMENT_H_
 
+#include "gypsumfall/balance/balance.h"
 #include "gypsumfall/base/base.h"
 #include "gypsumfall/dispatch/internal/interference.h"
 #include "gypsumfall/dispatch/internal/job_table.h"
@@ -25,9 +26,15 @@
   const std::vector<WorkerId>* avoided = nullptr;
 };
 
-/// @return whether the worker may receive new runs at all.
+/// @return whether the worker may receive new runs at all. One whose data
+///   centre is closed may not.
 bool AcceptsWork(const Worker& worker, Time now);
 
+/// @return the thousandths of a core that best-effort tasks may use on the
+///   worker, including those that they use now. They are not reserved, or
+///   long-running tasks that hold them are expected to leave them unused.
+double BestEffortProcessors(const Worker& worker);
+
 /// @return the time until the task can have enough free resources, judged by
 ///   the declared run times of the runs on the worker; `Duration::max()` if the
 ///   long-running runs and the reservations do not leave enough.
@@ -67,6 +74,20 @@
 int CountPlaces(WorkerTable& workers, const PlacementRequest& request,
                 int enough, Time now);
 
+/// Counts the tasks of a step that the workers could start now. The rack of the
+/// data does not count, nor do workers that fail runs.
+/// @param enough number at which counting ends.
+/// @return the number of tasks, at most `enough`.
+int CountFreePlaces(WorkerTable& workers, const PlacementRequest& request,
+                    const InterferenceModel& model, int enough, Time now);
+
+/// @param best_effort whether for best-effort steps, which use what others
+///   leave unused.
+/// @return an estimator for the waits of steps, by the declared run times of
+///   the runs on all workers that accept work.
+WaitEstimator EstimatorFor(const WorkerTable& workers, bool best_effort,
+                           Time now);
+
 }  // namespace gypsumfall::dispatch_internal
 
 #endif  // GYPSUMFALL_DISPATCH_INTERNAL_PLACEMENT_H_
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -88,13 +88,16 @@
                             Resources capacity = {MilliCores(8000),
                                                   MebiBytes(8000),
                                                   Accelerators(0)},
-                            ShardId shard = {}, std::uint64_t other_shards = 0)
+                            ShardId shard = {}, std::uint64_t other_shards = 0,
+                            bool balances_jobs = false)
       : shard_(shard),
         other_shards_(other_shards),
-        dispatcher_(
-            std::in_place,
-            DispatchSettings{.shard = shard, .other_shards = other_shards},
-            Epoch(1), kSimulationStart) {
+        balances_jobs_(balances_jobs),
+        dispatcher_(std::in_place,
+                    DispatchSettings{.shard = shard,
+                                     .other_shards = other_shards,
+                                     .balances_jobs = balances_jobs},
+                    Epoch(1), kSimulationStart) {
     for (int i = 0; i < worker_count; ++i) AddWorker(i, capacity);
     Advance(milliseconds(100));
   }
@@ -117,6 +120,13 @@
     dispatcher_->OnWorkerListed(worker.entry, now_);
   }
 
+  /// Assigns the worker to a data centre; all begin in "dc".
+  void SetDataCentre(int index, const std::string& data_centre) {
+    SimulatedWorker& moved = worker(index);
+    moved.entry.data_centre = DataCentreId(data_centre);
+    dispatcher_->OnWorkerListed(moved.entry, now_);
+  }
+
   Dispatcher& dispatcher() { return *dispatcher_; }
   SimulatedWorker& worker(int index) {
     return workers_.at(WorkerId("w" + std::to_string(index)));
@@ -151,6 +161,7 @@
     const Time end = now_ + duration;
     while (now_ < end) {
       now_ += kSimulationStep;
+      ApplyEvacuations();
       for (auto& [id, worker] : workers_) EndRuns(worker);
       DeliverOrders();
       if (store_available) StoreRecords();
@@ -162,11 +173,13 @@
     const Epoch epoch = dispatcher_->epoch().Next();
     open_lease_calls_.clear();
     unanswered_batch_.reset();
-    dispatcher_.emplace(
-        DispatchSettings{.shard = shard_,
-                         .other_shards = other_shards_,
-                         .predecessor_slack = predecessor_slack},
-        epoch, now_);
+    dispatcher_.emplace(DispatchSettings{.shard = shard_,
+                                         .other_shards = other_shards_,
+                                         .predecessor_slack = predecessor_slack,
+                                         .order_by_loss = order_by_loss,
+                                         .balances_jobs = balances_jobs_},
+                        epoch, now_);
+    ApplyEvacuations();
     for (const auto& [id, ended] : stored_ended_) {
       dispatcher_->RestoreEnded(ended);
     }
@@ -268,6 +281,8 @@
       };
   /// Returns the usage that a worker reports for a run.
   std::function<double(const SimulatedWorker&, const TaskName&)> usage_of;
+  /// Setting of the successors that take over from now on.
+  bool order_by_loss = false;
   bool store_available = true;
   /// Returns the time after which the answer to a stored batch arrives.
   std::function<Duration()> record_answer_delay = [] { return Duration{0}; };
@@ -275,6 +290,9 @@
   std::function<bool(const RecordBatch&)> rejects;
   /// Jobs that are stored after a successor has read the job table.
   std::set<JobId> unread_jobs;
+  /// Which data centres are closed, if set. The cluster confirms it at each
+  /// step, and counts a start in a closed one as a violation.
+  std::optional<EvacuationSet> evacuations;
   /// Sliced jobs whose cancellation is stored.
   std::set<JobId> cancelled_slices;
   /// Transfers that this shard has stored and not removed.
@@ -354,6 +372,12 @@
   }
 
  private:
+  void ApplyEvacuations() {
+    if (!evacuations) return;
+    evacuations->Confirm(now_);
+    dispatcher_->ApplyEvacuations(*evacuations);
+  }
+
   void EndRuns(SimulatedWorker& worker) {
     if (!worker.alive) return;
     std::vector<std::pair<TaskName, RunOutcome>> ended_runs;
@@ -486,6 +510,10 @@
     if (RunningNow(order.task) > 0) {
       violations.push_back("task runs twice at a time");
     }
+    if (evacuations &&
+        !evacuations->IsOpen(worker.entry.id, worker.entry.data_centre, now_)) {
+      violations.push_back("task starts in a closed data centre");
+    }
     ++starts_on[order.worker];
     const int start = ++starts[order.task];
     auto [run_time, end] = run_of(order.task, start);
@@ -546,6 +574,7 @@
   Time now_ = kSimulationStart;
   ShardId shard_;
   std::uint64_t other_shards_;
+  bool balances_jobs_ = false;
   std::optional<Dispatcher> dispatcher_;
   std::map<WorkerId, SimulatedWorker> workers_;
   std::vector<std::pair<LeaseOrder, Time>> open_lease_calls_;
--- a/gypsumfall/jobs/internal/job_record.h
+++ b/gypsumfall/jobs/internal/job_record.h
@@ -12,6 +12,9 @@
 
 namespace gypsumfall {
 
+/// Work, in milliseconds of one busy core.
+using CoreMilliseconds = StrongNumber<struct CoreMillisecondsTag, std::int64_t>;
+
 /// State of a job as callers see it.
 enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
@@ -154,6 +157,8 @@
   RunNumber last_run;
   /// A worker has started a task of the job.
   bool started = false;
+  /// The job was moved because of the load, by this move or an earlier one.
+  bool for_load = false;
   JobProgress progress;
   std::vector<ChunkProgress> chunks;
   std::vector<TaskCheckpoint> checkpoints;
@@ -199,6 +204,9 @@
   /// Time from the write of the row in which holders before this one may still
   /// send orders; unset in rows of earlier versions.
   std::optional<milliseconds> predecessor_slack;
+  /// Encoded `LoadSummary` of the shard; empty if the holder makes none, and in
+  /// rows of earlier versions.
+  std::string load;
 
   friend bool operator==(const LeaderRecord&, const LeaderRecord&) = default;
 };
@@ -245,15 +253,62 @@
   StepSpec step;
 };
 
+/// A job that its shard could run later, and the wait for that.
+struct LoadOffer {
+  JobOffer offer;
+  /// Time for which the step has waited, and the expected further wait.
+  Duration waited{0};
+  Duration expected_wait{0};
+  /// Work of the steps of the same or higher priority that wait in the shard.
+  CoreMilliseconds backlog;
+};
+
 /// Asks the leader of a shard which of the jobs its workers could run.
 struct OfferJobsRequest {
   std::vector<JobOffer> offers;
+  /// Jobs that are to move only if they start at once. In a list of their own,
+  /// which leaders of earlier versions ignore.
+  std::vector<LoadOffer> load_offers;
 };
 
 /// The jobs that the shard can take, and the epoch of its leader.
 struct OfferJobsReply {
   Epoch epoch;
   std::vector<JobId> wanted;
+  /// The jobs of `load_offers` that the shard would start at once.
+  std::vector<JobId> wanted_for_load;
+};
+
+/// Asks the leader of a shard to store an accepted job for a host whose own
+/// write was not applied or has an unknown outcome.
+struct StoreJobRequest {
+  /// Whether all shards run slices of the job.
+  bool sliced = false;
+  /// Time for which the write may be waited for.
+  milliseconds timeout{0};
+  /// The encoded record, which is written unchanged, so that a conflict with
+  /// an earlier write of the same job is recognised.
+  std::string record;
+};
+
+/// Outcome of the write of an accepted job.
+enum class StoreJobOutcome {
+  kDone,
+  /// A row of the job exists already.
+  kConflict,
+  /// Nothing was stored and nothing will be.
+  kNotApplied,
+  /// The store rejects the row for its content.
+  kRejected,
+  /// The job may have been stored or may still be.
+  kUnknown,
+};
+
+/// Reply to a request to store a job.
+struct StoreJobReply {
+  StoreJobOutcome outcome = StoreJobOutcome::kUnknown;
+  /// For `kConflict`: the values of the current rows of the job.
+  std::vector<std::string> current;
 };
 
 /// Asks the scheduling host for the state of a job.
--- a/gypsumfall/jobs/job_codec.cc
+++ b/gypsumfall/jobs/job_codec.cc
@@ -14,6 +14,12 @@
       "queued", "running", "completed", "failed", "cancelled"};
 };
 
+template <>
+struct EnumNames<StoreJobOutcome> {
+  static constexpr std::array<std::string_view, 5> kNames = {
+      "done", "conflict", "not_applied", "rejected", "unknown"};
+};
+
 }  // namespace protocol_internal
 
 namespace {
@@ -191,6 +197,7 @@
   visit("number", move.number);
   visit("last_run", move.last_run);
   OptionalField(visit, "started", move.started);
+  OptionalField(visit, "for_load", move.for_load);
   visit("progress", move.progress);
   ListField(visit, "chunks", move.chunks);
   ListField(visit, "checkpoints", move.checkpoints);
@@ -203,15 +210,25 @@
   visit("step", offer.step);
 }
 
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<LoadOffer> auto& load) {
+  visit("offer", load.offer);
+  MillisecondsField(visit, "waited_ms", load.waited);
+  MillisecondsField(visit, "expected_wait_ms", load.expected_wait);
+  visit("backlog", load.backlog);
+}
+
 template <typename Visitor>
 void Fields(Visitor& visit, MaybeConst<OfferJobsRequest> auto& request) {
   visit("offers", request.offers);
+  ListField(visit, "load_offers", request.load_offers);
 }
 
 template <typename Visitor>
 void Fields(Visitor& visit, MaybeConst<OfferJobsReply> auto& reply) {
   visit("epoch", reply.epoch);
   visit("wanted", reply.wanted);
+  ListField(visit, "wanted_for_load", reply.wanted_for_load);
 }
 
 template <typename Visitor>
@@ -258,6 +275,7 @@
   OptionalField(visit, "successor", leader.successor);
   NullableMillisecondsField(visit, "predecessor_slack_ms",
                             leader.predecessor_slack);
+  OptionalField(visit, "load", leader.load);
 }
 
 template <typename Visitor>
@@ -278,6 +296,19 @@
   visit("processors", request.processors);
 }
 
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<StoreJobRequest> auto& request) {
+  OptionalField(visit, "sliced", request.sliced);
+  MillisecondsField(visit, "timeout_ms", request.timeout);
+  visit("record", request.record);
+}
+
+template <typename Visitor>
+void Fields(Visitor& visit, MaybeConst<StoreJobReply> auto& reply) {
+  visit("outcome", reply.outcome);
+  ListField(visit, "current", reply.current);
+}
+
 template <typename Visitor>
 void Fields(Visitor& visit, MaybeConst<JobQuery> auto& query) {
   visit("id", query.id);
@@ -303,6 +334,8 @@
 template std::string Encode(const JobStateReply&);
 template std::string Encode(const QueueLengthReply&);
 template std::string Encode(const HandoverRequest&);
+template std::string Encode(const StoreJobRequest&);
+template std::string Encode(const StoreJobReply&);
 template std::string Encode(const JobQuery&);
 template std::string Encode(const QueueQuery&);
 template Result<JobRecord> Decode(std::string_view);
@@ -320,6 +353,8 @@
 template Result<JobStateReply> Decode(std::string_view);
 template Result<QueueLengthReply> Decode(std::string_view);
 template Result<HandoverRequest> Decode(std::string_view);
+template Result<StoreJobRequest> Decode(std::string_view);
+template Result<StoreJobReply> Decode(std::string_view);
 template Result<JobQuery> Decode(std::string_view);
 template Result<QueueQuery> Decode(std::string_view);
 
--- a/gypsumfall/scheduler/caller_service.cc
+++ b/gypsumfall/scheduler/caller_service.cc
@@ -16,12 +16,17 @@
 constexpr Duration kAnswerMargin = milliseconds(150);
 constexpr Duration kPeerTimeout = milliseconds(600);
 constexpr Duration kReadTimeout = milliseconds(500);
+// Bounds of the time for which another host is waited for when it stores a job.
+// The upper one covers the shortest time for which a host waits for its own
+// write (700 ms), and a caller that waits 3 s still has time for a second host.
+constexpr Duration kMinRelayTimeout = milliseconds(100);
+constexpr Duration kMaxRelayTimeout = milliseconds(900);
 constexpr Duration kRetryDelay = milliseconds(60);
 // Bounds of the retry delay that is sent to refused callers. Between the
 // bounds, the delay is the age of the outage: an outage that has lasted longer
 // is likely to last longer, and callers make only a few attempts.
-constexpr Duration kMinRetryAfter = seconds(1);
-constexpr Duration kMaxRetryAfter = seconds(4);
+constexpr Duration kMinOutageRetryAfter = seconds(1);
+constexpr Duration kMaxOutageRetryAfter = seconds(4);
 // Refusals further apart than this count as separate outages.
 constexpr Duration kOutageGap = seconds(2);
 constexpr Duration kStopGrace = seconds(3);
@@ -53,11 +58,26 @@
   std::string record_text;
   /// Whether an attempt to store the job has an unknown outcome.
   bool maybe_stored = false;
+  /// Paths tried since the latest delay, if jobs are relayed.
+  AcceptanceAttempts attempts;
+  /// Whether the home shard's leader has stored the job and thus knows it.
+  bool home_leader_knows = false;
 };
 
 CallerService::CallerService(Context& context)
     : context_(context),
-      answer_latency_(context.metrics.AddLatency("caller_answer_seconds")) {}
+      answer_latency_(context.metrics.AddLatency("caller_answer_seconds")),
+      jobs_stored_through_peer_(
+          context.metrics.AddCounter("jobs_stored_through_peer")),
+      relayed_jobs_failed_(context.metrics.AddCounter("relayed_jobs_failed")) {
+  if (!context.settings.overload.load_admission) return;
+  for (std::size_t i = 0; i < kAdmissionReasonCount; ++i) {
+    const std::string_view reason =
+        AdmissionReasonName(static_cast<AdmissionReason>(i));
+    admissions_.at(i) = &context.metrics.AddCounter(
+        "jobs_judged_by_load", {{"reason", std::string(reason)}});
+  }
+}
 
 Result<void> CallerService::Start() {
   topology_ = context_.kernel.Find<TopologyService>(kTopologyService);
@@ -89,8 +109,14 @@
 }
 
 std::string CallerService::Dump() const {
-  return "connections " + std::to_string(server_->connections()) +
-         ", open requests " + std::to_string(server_->open_requests()) + "\n";
+  std::string text = "connections " + std::to_string(server_->connections()) +
+                     ", open requests " +
+                     std::to_string(server_->open_requests()) + "\n";
+  for (const auto& [shard, controller] : admission_) {
+    text += "admission by load, shard " + std::to_string(shard.value()) +
+            ":\n" + controller.Dump();
+  }
+  return text;
 }
 
 void CallerService::Handle(const HttpRequest& request, Responder respond) {
@@ -147,7 +173,58 @@
     RefuseTemporarily(*exchange, "the accepted jobs need all memory");
     return;
   }
-  StoreJob(exchange);
+  if (context_.settings.overload.load_admission) {
+    StoreUnlessTooLate(exchange);
+  } else {
+    StoreJob(exchange);
+  }
+}
+
+std::optional<ObservedLoad> CallerService::LoadOf(const Shard& shard) const {
+  const std::optional<LeaderRecord>& leader = shard.elector.lease().record();
+  const std::optional<StoreTime> store_now =
+      shard.elector.store_clock().LatestReadingAt(context_.Now());
+  if (!leader || leader->load.empty() || !store_now) return std::nullopt;
+  Result<LoadSummary> summary = DecodeLoad(leader->load);
+  if (!summary) return std::nullopt;
+  const Duration age = *store_now - summary->made_at;
+  return ObservedLoad{*std::move(summary), age};
+}
+
+void CallerService::StoreUnlessTooLate(
+    const std::shared_ptr<Exchange>& exchange) {
+  const Shard& shard = *exchange->shard;
+  const AdmissionDecision decision = admission_[shard.scope.id].Decide(
+      exchange->request.job, DemandOf(exchange->record), LoadOf(shard),
+      context_.Now());
+  admissions_.at(static_cast<std::size_t>(decision.reason))->Add();
+  if (decision.accepted) return StoreJob(exchange);
+  LoadState(exchange,
+            [this, exchange, decision](const Result<JobStateReply>& stored) {
+              // An earlier attempt may have stored the job, also if the store
+              // does not answer. The conditional write then finds it.
+              if (!stored || stored->known) return StoreJob(exchange);
+              RefuseForLoad(*exchange, decision);
+            });
+}
+
+void CallerService::RefuseForLoad(Exchange& exchange,
+                                  const AdmissionDecision& decision) {
+  log_.Info(
+      "job refused: it cannot end in time",
+      {{"request", exchange.request.job},
+       {"queue", exchange.request.queue},
+       {"shard", exchange.shard->scope.id},
+       {"priority", exchange.record.terms.priority},
+       {"objective_ms", exchange.record.terms.objective / milliseconds(1)},
+       {"estimated_wait_ms", decision.estimate->wait / milliseconds(1)},
+       {"estimated_completion_ms",
+        decision.estimate->completion / milliseconds(1)},
+       {"waited_ms", decision.waited / milliseconds(1)},
+       {"retry_after_ms", decision.retry_after / milliseconds(1)}});
+  Answer(exchange, {.kind = CallerAnswer::Kind::kTryLater,
+                    .detail = "the job cannot end in time",
+                    .retry_after = decision.retry_after});
 }
 
 bool CallerService::IsFull(const Exchange& exchange) const {
@@ -161,8 +238,7 @@
 }
 
 void CallerService::StoreJob(const std::shared_ptr<Exchange>& exchange) {
-  const Duration time_left = exchange->answer_by - context_.Now();
-  if (!exchange->maybe_stored) {
+  if (exchange->record_text.empty()) {
     const std::optional<LeaderRecord>& leader =
         exchange->shard->elector.lease().record();
     exchange->record.accepted_epoch = exchange->sliced
@@ -171,19 +247,110 @@
                                                : Epoch(0);
     exchange->record_text = Encode(exchange->record);
   }
+  const Time now = context_.Now();
+  const Duration time_left = exchange->answer_by - now;
+  const Duration accept_timeout = AcceptTimeout(latest_store_time_);
+  if (!context_.settings.overload.acceptance_relay) {
+    WriteJob(exchange, std::min(time_left, accept_timeout));
+    return;
+  }
+  const std::vector<RelayTarget> targets = RelayTargets(*exchange);
+  const AcceptanceStep step =
+      acceptance_path_.NextStep(exchange->attempts, targets, now);
+  // A write that is given no time would only have an unknown outcome.
+  if (!exchange->attempts.relayed_to.empty() && time_left < kMinRelayTimeout) {
+    OnJobNotStored(exchange);
+    return;
+  }
+  switch (step.route) {
+    case AcceptanceStep::Route::kOwnStore:
+      WriteJob(exchange, OwnWriteTimeout(time_left, accept_timeout,
+                                         /*relay_possible=*/
+                                         exchange->attempts.relayed_to.size() <
+                                             targets.size()));
+      break;
+    case AcceptanceStep::Route::kRelay:
+      RelayJob(exchange, *shards_->FindShard(step.shard));
+      break;
+    case AcceptanceStep::Route::kNone:
+      OnJobNotStored(exchange);
+      break;
+  }
+}
+
+void CallerService::WriteJob(const std::shared_ptr<Exchange>& exchange,
+                             Duration timeout) {
   context_.ports.store.transact(
       exchange->sliced
           ? AcceptSlicedTransaction(exchange->request.job,
                                     exchange->record_text)
           : AcceptTransaction(exchange->shard->scope, exchange->request.job,
                               exchange->record_text),
-      std::min(time_left, AcceptTimeout(latest_store_time_)),
+      timeout,
       [this, exchange, sent = context_.Now()](const TransactionReply& reply) {
         latest_store_time_ = context_.Now() - sent;
+        RecordOwnWrite(reply.outcome);
         OnJobStored(exchange, reply);
       });
 }
 
+void CallerService::RecordOwnWrite(StoreOutcome outcome) {
+  if (!context_.settings.overload.acceptance_relay) return;
+  const bool was_failing = acceptance_path_.is_own_store_failing();
+  acceptance_path_.OnOwnWrite(outcome, context_.Now());
+  if (acceptance_path_.is_own_store_failing() == was_failing) return;
+  if (was_failing) {
+    log_.Info("the store takes jobs of this host again", {});
+  } else {
+    log_.Warning("the store does not take jobs of this host",
+                 {{"outcome", StoreOutcomeName(outcome)}});
+  }
+}
+
+std::vector<RelayTarget> CallerService::RelayTargets(
+    const Exchange& exchange) const {
+  std::vector<RelayTarget> targets;
+  for (const auto& shard : shards_->shards()) {
+    const std::optional<LeaderRecord>& leader = shard->elector.lease().record();
+    if (!leader || leader->released || shard->dispatch.is_scheduling() ||
+        leader->holder == context_.settings.host.id) {
+      continue;
+    }
+    const bool is_home = shard.get() == exchange.shard;
+    targets.insert(is_home ? targets.begin() : targets.end(),
+                   {shard->scope.id, leader->endpoint});
+  }
+  return targets;
+}
+
+void CallerService::RelayJob(const std::shared_ptr<Exchange>& exchange,
+                             Shard& shard) {
+  const Duration timeout = std::min<Duration>(
+      exchange->answer_by - context_.Now(), kMaxRelayTimeout);
+  peers_->StoreJob(shard, exchange->record_text, exchange->sliced, timeout,
+                   [this, exchange, &shard,
+                    endpoint = shard.elector.lease().record()->endpoint](
+                       const TransactionReply& reply) {
+                     acceptance_path_.OnRelayedWrite(endpoint, reply.outcome,
+                                                     context_.Now());
+                     const bool stored = IsStored(exchange->record_text, reply);
+                     if (stored) {
+                       jobs_stored_through_peer_.Add();
+                     } else if (reply.outcome != StoreOutcome::kConflict) {
+                       relayed_jobs_failed_.Add();
+                     }
+                     log_.Info(stored ? "job stored through another host"
+                                      : "job not stored through another host",
+                               {{"request", exchange->request.job},
+                                {"shard", shard.scope.id},
+                                {"host", endpoint},
+                                {"outcome", StoreOutcomeName(reply.outcome)}});
+                     exchange->home_leader_knows =
+                         stored && &shard == exchange->shard;
+                     OnJobStored(exchange, reply);
+                   });
+}
+
 void CallerService::OnJobStored(const std::shared_ptr<Exchange>& exchange,
                                 const TransactionReply& reply) {
   switch (reply.outcome) {
@@ -203,8 +370,19 @@
     case StoreOutcome::kNotApplied:
       break;
   }
+  if (context_.settings.overload.acceptance_relay) {
+    StoreJob(exchange);
+  } else {
+    OnJobNotStored(exchange);
+  }
+}
+
+void CallerService::OnJobNotStored(const std::shared_ptr<Exchange>& exchange) {
   if (HasTimeToRetry(*exchange) && exchange->maybe_stored) {
-    RetryLater(exchange, [this, exchange] { StoreJob(exchange); });
+    RetryLater(exchange, [this, exchange] {
+      exchange->attempts = {};
+      StoreJob(exchange);
+    });
   } else if (exchange->maybe_stored) {
     Answer(*exchange, {.kind = CallerAnswer::Kind::kOutcomeUnknown});
   } else {
@@ -230,7 +408,7 @@
 void CallerService::OnAccepted(Exchange& exchange) {
   Answer(exchange, {.kind = CallerAnswer::Kind::kAccepted});
   // The leaders wait for changes of the table of sliced jobs.
-  if (exchange.sliced) return;
+  if (exchange.sliced || exchange.home_leader_knows) return;
   peers_->ReportAccepted(*exchange.shard, exchange.record,
                          exchange.record_text);
 }
@@ -427,8 +605,9 @@
   last_refusal_ = now;
   Answer(exchange, {.kind = CallerAnswer::Kind::kTryLater,
                     .detail = std::move(detail),
-                    .retry_after = std::clamp<Duration>(
-                        now - outage_since_, kMinRetryAfter, kMaxRetryAfter)});
+                    .retry_after = std::clamp<Duration>(now - outage_since_,
+                                                        kMinOutageRetryAfter,
+                                                        kMaxOutageRetryAfter)});
 }
 
 void CallerService::Answer(Exchange& exchange, const CallerAnswer& answer) {
--- a/gypsumfall/scheduler/dispatch_service.cc
+++ b/gypsumfall/scheduler/dispatch_service.cc
@@ -21,6 +21,7 @@
 // lost.
 constexpr Duration kJobScanInterval = milliseconds(1000);
 constexpr Duration kStatusInterval = seconds(1);
+constexpr Duration kLoadInterval = seconds(1);
 
 // Healthy workers answer within milliseconds. A start that is not answered
 // within this time is stopped, and the task is placed again.
@@ -40,12 +41,14 @@
 
 DispatchService::DispatchService(Context& context, const ShardScope& scope,
                                  LeaderElector& elector, LayoutService& layout,
-                                 WorkerListService& worker_list)
+                                 WorkerListService& worker_list,
+                                 TopologyService& topology)
     : context_(context),
       scope_(scope),
       elector_(elector),
       layout_(layout),
       worker_list_(worker_list),
+      topology_(topology),
       cycle_timer_(context.runtime, [this] { RunCycle(); }),
       load_retry_(context.runtime, [this] { Load(); }),
       starts_(context.metrics.AddCounter("runs_started")),
@@ -55,6 +58,7 @@
       rejected_batches_(context.metrics.AddCounter("record_batches_rejected")),
       transfers_(context.metrics.AddCounter("tasks_transferred")),
       moves_(context.metrics.AddCounter("jobs_moved")),
+      moves_for_load_(context.metrics.AddCounter("jobs_moved_for_load")),
       store_latency_(context.metrics.AddLatency("record_store_seconds")),
       takeover_time_(context.metrics.AddLatency("takeover_seconds")),
       free_cpu_(context.metrics.AddGauge("shard_free_millicores",
@@ -63,6 +67,8 @@
           "shard_largest_free_millicores", ShardLabels(scope))),
       draining_workers_(context.metrics.AddGauge("shard_draining_workers",
                                                  ShardLabels(scope))),
+      held_back_workers_(context.metrics.AddGauge("shard_held_back_workers",
+                                                  ShardLabels(scope))),
       jobs_(context.metrics.AddGauge("shard_jobs", ShardLabels(scope))),
       job_bytes_(
           context.metrics.AddGauge("shard_job_bytes", ShardLabels(scope))),
@@ -70,6 +76,14 @@
                                                  ShardLabels(scope))),
       changed_tasks_(
           context.metrics.AddGauge("shard_changed_tasks", ShardLabels(scope))),
+      passed_over_steps_(context.metrics.AddGauge("shard_passed_over_steps",
+                                                  ShardLabels(scope))),
+      longest_passed_over_wait_(context.metrics.AddGauge(
+          "shard_longest_passed_over_wait_seconds", ShardLabels(scope))),
+      overloaded_priorities_(context.metrics.AddGauge(
+          "shard_overloaded_priorities", ShardLabels(scope))),
+      steps_moved_up_(
+          context.metrics.AddGauge("shard_steps_moved_up", ShardLabels(scope))),
       waiting_long_running_(context.metrics.AddGauge(
           "shard_waiting_long_running_tasks", ShardLabels(scope))),
       longest_long_running_wait_(context.metrics.AddGauge(
@@ -101,6 +115,11 @@
   if (dispatcher_) worker_list_.Replay(*this);
 }
 
+void DispatchService::OnEvacuations() {
+  if (!dispatcher_) return;
+  dispatcher_->ApplyEvacuations(topology_.evacuations());
+}
+
 void DispatchService::Tick() {
   if (!dispatcher_) return;
   RunCycle();
@@ -127,12 +146,13 @@
 void DispatchService::Load() {
   if (!elector_.lease().is_leader()) return;
   LoadState(context_, scope_, layout_.layout()->shard_count,
-            [this, generation = generation_](Result<StoredState> loaded) {
-              if (generation == generation_) OnLoaded(std::move(loaded));
+            [this, generation = generation_,
+             sent = context_.Now()](Result<StoredState> loaded) {
+              if (generation == generation_) OnLoaded(std::move(loaded), sent);
             });
 }
 
-void DispatchService::OnLoaded(Result<StoredState> loaded) {
+void DispatchService::OnLoaded(Result<StoredState> loaded, Time sent) {
   const Time now = context_.Now();
   if (!loaded) {
     log_.Warning("cannot load the stored state; retrying",
@@ -151,9 +171,16 @@
       .max_job_bytes =
           static_cast<std::size_t>(
               context_.settings.scheduling.max_job_memory.value()) /
-          std::max<std::size_t>(1, layout_.layout()->shard_count)};
+          std::max<std::size_t>(1, layout_.layout()->shard_count),
+      .order_by_loss = context_.settings.overload.order_by_loss,
+      .measure_load = context_.settings.overload.load_admission,
+      .balances_jobs = context_.settings.overload.job_balancing};
   dispatcher_ = std::make_unique<Dispatcher>(
       settings, elector_.lease().record()->epoch, leader_since_);
+  // What this host knew before its claim may be old: it may have been frozen or
+  // cut off.
+  topology_.ApplyAllEvacuations(loaded->evacuations, sent);
+  dispatcher_->ApplyEvacuations(topology_.evacuations());
   const WallTime wall_now = context_.WallNow();
   std::set<JobId> ended;
   for (const JobProgress& ended_job : loaded->ended) {
@@ -196,16 +223,18 @@
   job_scan_version_ = loaded->version;
   sliced_version_ = loaded->sliced_version;
   takeover_time_.Record(now - leader_since_);
-  log_.Info("scheduling started",
-            {{"shard", scope_.id},
-             {"epoch", dispatcher_->epoch()},
-             {"jobs", loaded->jobs.size()},
-             {"sliced_jobs", loaded->sliced_jobs.size()},
-             {"transfers", loaded->own_transfers.size()},
-             {"moves", loaded->moves.size()},
-             {"ended_jobs", loaded->ended.size()},
-             {"workers_with_leases", loaded->roster.size()},
-             {"load_ms", (now - leader_since_).count() / 1000}});
+  log_.Info(
+      "scheduling started",
+      {{"shard", scope_.id},
+       {"epoch", dispatcher_->epoch()},
+       {"jobs", loaded->jobs.size()},
+       {"sliced_jobs", loaded->sliced_jobs.size()},
+       {"transfers", loaded->own_transfers.size()},
+       {"moves", loaded->moves.size()},
+       {"ended_jobs", loaded->ended.size()},
+       {"workers_with_leases", loaded->roster.size()},
+       {"evacuated_data_centres", topology_.evacuations().closed().size()},
+       {"load_ms", (now - leader_since_).count() / 1000}});
   worker_list_.Subscribe(*this);
   RunCycleSoon();
 }
@@ -218,6 +247,8 @@
     LogDispatchEvents();
   }
   dispatcher_.reset();
+  load_.clear();
+  next_load_ = {};
   worker_list_.Unsubscribe(*this);
   job_scan_pending_ = false;
   sliced_read_pending_ = false;
@@ -254,11 +285,12 @@
                        ? dispatcher_->HasRecords()
                        : dispatcher_->HasRecords() && age >= kRecordBatchDelay;
   if (!due && age < kRenewInterval) return;
+  UpdateLoad(now);
   RecordBatch batch = dispatcher_->TakeRecords(kMaxBatchRows);
   RowTransaction rows = BatchTransaction(scope_, batch, elector_.store_clock());
   auto shared_batch = std::make_shared<RecordBatch>(std::move(batch));
   elector_.Store(
-      std::move(rows), dispatcher_->IsFull(),
+      std::move(rows), dispatcher_->IsFull(), load_,
       [this, generation = generation_, now, shared_batch] {
         if (generation != generation_) return;
         store_latency_.Record(context_.Now() - now);
@@ -272,6 +304,28 @@
       });
 }
 
+void DispatchService::UpdateLoad(Time now) {
+  if (!context_.settings.overload.load_admission || now < next_load_) return;
+  const std::optional<StoreTime> made_at =
+      elector_.store_clock().LatestReadingAt(now);
+  // Without the store's clock other hosts cannot tell the age of the summary.
+  if (!made_at) return;
+  next_load_ = now + kLoadInterval;
+  const LoadSummary summary = dispatcher_->Load(*made_at, now);
+  load_ = EncodeLoad(summary);
+  for (const ClassLoad& load : summary.classes) {
+    log_.Info("shard load", {{"shard", scope_.id},
+                             {"priority", load.work_class.priority},
+                             {"best_effort", load.work_class.best_effort},
+                             {"queued_core_ms", load.queued},
+                             {"running_core_ms", load.running},
+                             {"rate_millicores", load.rate},
+                             {"arrivals_millicores", load.arrivals},
+                             {"run_time_percent", load.run_time_percent},
+                             {"wait_percent", load.wait_percent}});
+  }
+}
+
 void DispatchService::OnStored(const RecordBatch& batch) {
   record_batches_.Add();
   for (const JobProgress& ended : batch.ended) {
@@ -413,16 +467,26 @@
 void DispatchService::ReportStatus(Time now) {
   if (now < next_status_) return;
   next_status_ = now + kStatusInterval;
+  if (!topology_.evacuations().IsKnown(now)) {
+    log_.Warning("no task starts: the evacuations were not read for too long",
+                 {{"shard", scope_.id}, {"epoch", dispatcher_->epoch()}});
+  }
   const ShardStatus status = dispatcher_->Status(now);
   const auto wait =
       std::chrono::duration<double>(status.longest_long_running_wait);
   free_cpu_.Set(static_cast<double>(status.free.value()));
   largest_free_cpu_.Set(static_cast<double>(status.largest_free.value()));
   draining_workers_.Set(status.draining_workers);
+  held_back_workers_.Set(status.held_back_workers);
   jobs_.Set(static_cast<double>(status.jobs));
   job_bytes_.Set(static_cast<double>(status.job_bytes));
   open_occurrences_.Set(static_cast<double>(status.open_occurrences));
   changed_tasks_.Set(static_cast<double>(status.changed_tasks));
+  passed_over_steps_.Set(static_cast<double>(status.passed_over_steps));
+  longest_passed_over_wait_.Set(
+      std::chrono::duration<double>(status.longest_passed_over_wait).count());
+  overloaded_priorities_.Set(static_cast<double>(status.overloaded_priorities));
+  steps_moved_up_.Set(static_cast<double>(status.steps_moved_up));
   waiting_long_running_.Set(status.waiting_long_running);
   longest_long_running_wait_.Set(wait.count());
   unplaceable_long_running_.Set(status.unplaceable_long_running);
@@ -437,8 +501,14 @@
              {"free", status.free},
              {"largest_free", status.largest_free},
              {"draining_workers", status.draining_workers},
+             {"held_back_workers", status.held_back_workers},
              {"long_running_on_draining", status.long_running_on_draining},
              {"waiting_steps", status.waiting_steps},
+             {"passed_over_steps", status.passed_over_steps},
+             {"longest_passed_over_wait_ms",
+              status.longest_passed_over_wait / milliseconds(1)},
+             {"overloaded_priorities", status.overloaded_priorities},
+             {"steps_moved_up", status.steps_moved_up},
              {"jobs", status.jobs},
              {"job_bytes", status.job_bytes},
              {"open_occurrences", status.open_occurrences},
--- a/gypsumfall/scheduler/internal/dispatch_service.h
+++ b/gypsumfall/scheduler/internal/dispatch_service.h
@@ -13,6 +13,7 @@
 #include "gypsumfall/scheduler/internal/layout_service.h"
 #include "gypsumfall/scheduler/internal/leader_elector.h"
 #include "gypsumfall/scheduler/internal/stored_jobs.h"
+#include "gypsumfall/scheduler/internal/topology_service.h"
 #include "gypsumfall/scheduler/internal/worker_list_service.h"
 
 namespace gypsumfall::scheduler_internal {
@@ -23,12 +24,14 @@
  public:
   DispatchService(Context& context, const ShardScope& scope,
                   LeaderElector& elector, LayoutService& layout,
-                  WorkerListService& worker_list);
+                  WorkerListService& worker_list, TopologyService& topology);
 
   /// Runs due work. Must be called periodically.
   void Tick();
   /// Handles the assignment of further racks, possibly to this shard.
   void OnRacksAssigned();
+  /// Handles a change of what is known of the closed data centres.
+  void OnEvacuations();
   std::string Dump() const;
 
   void OnListed(const WorkerEntry& entry) override;
@@ -59,10 +62,12 @@
   /// Gives tasks to a shard that has reserved workers for them.
   void TransferTasks(const std::vector<TaskName>& tasks, ShardId shard);
   /// @param other shard that is offered the jobs.
-  /// @return at most `limit` jobs that no worker of this shard could run. Must
-  ///   be called only while scheduling, like `ChooseOffered`.
-  std::vector<JobOffer> JobsToMove(ShardId other, std::size_t limit);
-  /// Chooses the offered jobs that workers of this shard could run.
+  /// @return at most `limit` jobs that no worker of this shard could run, and
+  ///   at most as many that another shard may start sooner. Must be called only
+  ///   while scheduling, like `ChooseOffered`.
+  OfferJobsRequest JobsToMove(ShardId other, std::size_t limit);
+  /// Chooses the offered jobs that workers of this shard could run, or would
+  /// start at once.
   OfferJobsReply ChooseOffered(const OfferJobsRequest& request);
   /// Gives jobs to a shard that wants them.
   void MoveJobs(const OfferJobsReply& reply, ShardId shard);
@@ -70,7 +75,8 @@
  private:
   void StartScheduling();
   void Load();
-  void OnLoaded(Result<StoredState> loaded);
+  /// @param sent time at which the reads were sent.
+  void OnLoaded(Result<StoredState> loaded, Time sent);
   void StopScheduling();
   void RunCycle();
   void RunCycleSoon();
@@ -80,6 +86,8 @@
   void SendLease(const LeaseOrder& order);
   void SendThrottle(const ThrottleOrder& order);
   void StoreRecords(Time now);
+  /// Makes a new load summary if one is due and the settings ask for it.
+  void UpdateLoad(Time now);
   void OnStored(const RecordBatch& batch);
   void ScanJobChanges();
   void ReloadJobs(Time scan_started);
@@ -113,6 +121,7 @@
   LeaderElector& elector_;
   LayoutService& layout_;
   WorkerListService& worker_list_;
+  TopologyService& topology_;
   Timer cycle_timer_;
   Timer load_retry_;
   /// Incremented whenever scheduling starts or stops; responses to calls of an
@@ -123,6 +132,9 @@
   RowVersion job_scan_version_;
   Time next_job_scan_{};
   Time next_status_{};
+  /// Encoded load summary to store with each renewal; empty if there is none.
+  std::string load_;
+  Time next_load_{};
   bool job_scan_pending_ = false;
   RowVersion sliced_version_;
   Time next_sliced_read_{};
@@ -142,16 +154,22 @@
   Counter& rejected_batches_;
   Counter& transfers_;
   Counter& moves_;
+  Counter& moves_for_load_;
   LatencyHistogram& store_latency_;
   LatencyHistogram& takeover_time_;
   /// The shard's status, while this host is its leader.
   Gauge& free_cpu_;
   Gauge& largest_free_cpu_;
   Gauge& draining_workers_;
+  Gauge& held_back_workers_;
   Gauge& jobs_;
   Gauge& job_bytes_;
   Gauge& open_occurrences_;
   Gauge& changed_tasks_;
+  Gauge& passed_over_steps_;
+  Gauge& longest_passed_over_wait_;
+  Gauge& overloaded_priorities_;
+  Gauge& steps_moved_up_;
   Gauge& waiting_long_running_;
   Gauge& longest_long_running_wait_;
   Gauge& unplaceable_long_running_;
--- a/gypsumfall/scheduler/internal/fake_ports.h
+++ b/gypsumfall/scheduler/internal/fake_ports.h
@@ -42,6 +42,9 @@
     kCallLost,
     /// The call is carried out by `ApplyLate`, and there is no response.
     kLate,
+    /// The call is carried out, and the host never learns of any result, as if
+    /// it had died.
+    kHostLost,
   };
 
   explicit FakeStore(boost::asio::io_context& io) : io_(io) {}
@@ -53,6 +56,17 @@
     remaining_faults_ = count;
     table_with_faults_ = table;
   }
+  /// Injects a fault into the next `count` transactions with which the host
+  /// writes to the table. They take precedence over those of `InjectFault`.
+  void InjectHostFault(const std::string& host, Fault fault, int count,
+                       const std::string& table) {
+    host_faults_[host] = {fault, count, table};
+  }
+  /// @return the number of transactions with which the host has tried to write
+  ///   to the table of its injected faults.
+  int faulty_writes(const std::string& host) {
+    return host_faults_[host].writes;
+  }
   /// @return the number of injected faults that have not occurred yet.
   int remaining_faults() const { return remaining_faults_; }
 
@@ -69,6 +83,9 @@
   void Put(const RowAddress& address, const std::string& value) {
     rows_[Key(address)] = {address, value, RowVersion(++version_)};
   }
+  void Remove(const RowAddress& address) {
+    Apply({.conditions = {}, .writes = {}, .removals = {address}});
+  }
   /// Removes a row of which no read of changes tells.
   void RemoveWithoutHistory(const RowAddress& address) {
     rows_.erase(Key(address));
@@ -90,17 +107,26 @@
     remaining_read_failures_ = count;
   }
 
+  /// Table whose rows and changes cannot be read.
+  std::string unreadable_table;
+
   /// Row that the store never takes, if its table is set.
   RowAddress rejected_row;
 
   /// Number of rows that reads have returned so far.
   std::size_t rows_returned = 0;
 
-  RowStore Port() {
+  /// @param host name of the host that uses the port, see `InjectHostFault`.
+  RowStore Port(const std::string& host = {}) {
     RowStore port;
-    port.transact = [this](const RowTransaction& transaction, Duration,
-                           UniqueFunction<TransactionReply> done) {
-      TransactionReply reply = Transact(transaction);
+    port.transact = [this, host](const RowTransaction& transaction, Duration,
+                                 UniqueFunction<TransactionReply> done) {
+      const Fault fault = NextFault(host, transaction);
+      TransactionReply reply = Transact(transaction, fault);
+      if (fault == Fault::kHostLost) {
+        unanswered_.push_back(std::move(done));
+        return;
+      }
       if (reply.outcome != StoreOutcome::kUnknown) reply.store_time = Clock();
       Post([done = std::move(done), reply]() mutable { done(reply); });
     };
@@ -115,6 +141,12 @@
       RowPage page{.outcome = StoreOutcome::kDone,
                    .rows = {},
                    .version = RowVersion(version_)};
+      if (table == unreadable_table) {
+        Post([done = std::move(done)]() mutable {
+          done({.outcome = StoreOutcome::kNotApplied, .rows = {}});
+        });
+        return;
+      }
       const auto history = history_start_.find(table);
       if (history != history_start_.end() && after < history->second) {
         page.outcome = StoreOutcome::kHistoryGone;
@@ -153,12 +185,27 @@
     boost::asio::post(io_, std::move(work));
   }
 
-  TransactionReply Transact(const RowTransaction& transaction) {
+  struct HostFault {
     Fault fault = Fault::kNone;
-    if (remaining_faults_ > 0 && WritesTo(table_with_faults_, transaction)) {
-      --remaining_faults_;
-      fault = fault_;
+    int remaining = 0;
+    std::string table;
+    int writes = 0;
+  };
+
+  Fault NextFault(const std::string& host, const RowTransaction& transaction) {
+    const auto found = host_faults_.find(host);
+    if (found != host_faults_.end() &&
+        WritesTo(found->second.table, transaction)) {
+      ++found->second.writes;
+      if (found->second.remaining-- > 0) return found->second.fault;
     }
+    if (remaining_faults_ == 0 || !WritesTo(table_with_faults_, transaction))
+      return Fault::kNone;
+    --remaining_faults_;
+    return fault_;
+  }
+
+  TransactionReply Transact(const RowTransaction& transaction, Fault fault) {
     if (fault == Fault::kDown) return {StoreOutcome::kNotApplied, {}, {}};
     if (fault == Fault::kLate) late_.push_back(transaction);
     if (fault == Fault::kCallLost || fault == Fault::kLate)
@@ -219,6 +266,8 @@
       --remaining_read_failures_;
       return {.outcome = StoreOutcome::kNotApplied, .rows = {}};
     }
+    if (range.table == unreadable_table)
+      return {.outcome = StoreOutcome::kNotApplied, .rows = {}};
     constexpr std::size_t kMaxKeyBytes = 200;
     constexpr int kMaxPageRows = 500;
     if (range.from.size() > kMaxKeyBytes)
@@ -251,6 +300,9 @@
   Fault fault_ = Fault::kNone;
   int remaining_faults_ = 0;
   std::string table_with_faults_;
+  std::map<std::string, HostFault> host_faults_;
+  /// Keeps calls of lost hosts open, so that they are not answered as failed.
+  std::vector<UniqueFunction<TransactionReply>> unanswered_;
   std::vector<RowTransaction> late_;
   int remaining_read_failures_ = 0;
   std::string partition_with_failing_reads_;
@@ -258,6 +310,11 @@
 
 inline RowAddress ConfigAddress() { return {"op", "", "config"}; }
 
+/// @return the address of the row that closes a data centre.
+inline RowAddress EvacuationAddress(const std::string& data_centre) {
+  return {"op", "", "evacuate/" + data_centre};
+}
+
 /// @return a task of a job with one step.
 inline TaskName TaskOf(const JobId& id, int index) { return {id, 0, 0, index}; }
 
@@ -376,6 +433,11 @@
   return job.str().find("-gang") != std::string::npos;
 }
 
+/// @return whether the job is best-effort and declares its run time.
+inline bool IsBestEffort(const JobId& job) {
+  return job.str().starts_with("spare");
+}
+
 /// Decodes the requests of tests: "POST /ID" submits a job, "GET /ID" queries
 /// its state, "DELETE /ID" cancels it and "GET /" queries the queue length.
 inline CallerPort FakeCallers() {
@@ -395,6 +457,11 @@
     }
     call.spec.steps[0].required_label = WorkerLabel(RackOf(call.job));
     call.spec.steps[0].gang = IsGang(call.job);
+    if (IsBestEffort(call.job)) {
+      call.spec.steps[0].best_effort = true;
+      call.spec.steps[0].declared_run_time = seconds(1);
+      call.spec.steps[0].need.cpu = MilliCores(1000);
+    }
     if (call.job.empty()) {
       call.kind = Kind::kQueueLength;
     } else if (request.method == HttpMethod::kPost) {
@@ -452,16 +519,21 @@
            InstantWorkers& workers, const std::string& name,
            std::int64_t workers_per_processor = 500,
            double processor_share = 1.0,
-           ByteCount max_job_memory = ByteCount(64 << 20))
+           ByteCount max_job_memory = ByteCount(64 << 20),
+           const OverloadSettings& overload = {})
       : io_(io),
         caller_port_(io),
         peer_port_(io),
         runtime_(io),
         peers_(io, {}),
-        ports_{store.Port(), workers.Port(), FakeCallers(), FakeDirectory()} {
+        ports_{store.Port(name), workers.Port(), FakeCallers(),
+               FakeDirectory()} {
     settings_.scheduling.workers_per_processor = workers_per_processor;
     settings_.scheduling.max_job_memory = max_job_memory;
     settings_.timings.worker_heartbeat = milliseconds(100);
+    settings_.timings.evacuation_bound = seconds(5);
+    settings_.timings.evacuation_return = milliseconds(200);
+    settings_.overload = overload;
     settings_.host.id = EntryHostId(name);
     settings_.host.processor_share = processor_share;
     settings_.host.listen_callers = {"127.0.0.1", caller_port_.number()};
@@ -502,6 +574,7 @@
     }
   }
 
+  Metrics& metrics() { return metrics_; }
   TopologyService& topology() {
     return *kernel_.Find<TopologyService>(kTopologyService);
   }
@@ -522,6 +595,7 @@
   static DirectoryPort FakeDirectory() {
     return {
         .topology_row = ConfigAddress(),
+        .evacuation_rows = EvacuationAddress(""),
         .worker_table = "workers",
         .decode_topology = [](const std::string& value) -> Result<Topology> {
           if (value.empty()) return Fail(ErrorKind::kBadRequest, "empty");
@@ -538,14 +612,27 @@
           const std::size_t dash = row.address.key.find('-');
           const std::string rack =
               dash == std::string::npos ? "" : row.address.key.substr(0, dash);
+          // The data centre follows an "@".
+          const std::size_t at = row.address.key.find('@');
           return WorkerEntry{
               .id = WorkerId(row.address.key),
               .endpoint = "worker:1",
               .service = ServiceId("desk"),
-              .data_centre = DataCentreId("dc"),
+              .data_centre = DataCentreId(at == std::string::npos
+                                              ? "dc"
+                                              : row.address.key.substr(at + 1)),
               .capacity = {MilliCores(8000), MebiBytes(8000), {}},
               .labels = {WorkerLabel(rack)},
               .rack = RackId(rack)};
+        },
+        .decode_evacuation =
+            [](const RowAddress& address) -> std::optional<DataCentreId> {
+          const RowAddress prefix = EvacuationAddress("");
+          if (address.table != prefix.table ||
+              !address.key.starts_with(prefix.key)) {
+            return std::nullopt;
+          }
+          return DataCentreId(address.key.substr(prefix.key.size()));
         }};
   }
 
--- a/gypsumfall/scheduler/stored_jobs.cc
+++ b/gypsumfall/scheduler/stored_jobs.cc
@@ -128,11 +128,11 @@
   return transactions;
 }
 
-// Waits for the reads of the six tables and combines their results.
+// Waits for the reads of the seven tables and combines their results.
 struct StateLoad {
   Logger log{"stored-jobs"};
   StoredState state;
-  int pending_reads = 6;
+  int pending_reads = 7;
   bool failed = false;
   UniqueFunction<Result<StoredState>> done;
 
@@ -269,6 +269,14 @@
           .removals = {}};
 }
 
+bool IsStored(const std::string& record, const TransactionReply& reply) {
+  return reply.outcome == StoreOutcome::kDone ||
+         (reply.outcome == StoreOutcome::kConflict &&
+          std::any_of(
+              reply.current.begin(), reply.current.end(),
+              [&](const StoredRow& row) { return row.value == record; }));
+}
+
 Duration AcceptTimeout(Duration latest) {
   return std::clamp<Duration>(kAcceptTimeoutFactor * latest, kMinAcceptTimeout,
                               kMaxAcceptTimeout);
@@ -381,6 +389,13 @@
   return rows;
 }
 
+void LoadEvacuations(Context& context, Duration timeout,
+                     UniqueFunction<LoadedRows> done) {
+  const RowAddress& first = context.ports.directory.evacuation_rows;
+  LoadRows(context, {first.table, first.partition, first.key}, timeout,
+           std::move(done));
+}
+
 void LoadState(Context& context, const ShardScope& scope,
                std::uint64_t shard_count,
                UniqueFunction<Result<StoredState>> done) {
@@ -416,6 +431,11 @@
              DecodeOldRoster(loaded, *loading);
              loading->Finish(loaded.outcome);
            });
+  LoadEvacuations(context, kPageTimeout, [loading](LoadedRows loaded) {
+    const StoreOutcome outcome = loaded.outcome;
+    loading->state.evacuations = std::move(loaded);
+    loading->Finish(outcome);
+  });
   LoadRows(context, kRosterTable, scope.partition, kPageTimeout,
            [loading](const LoadedRows& loaded) {
              loading->state.roster =
--- a/gypsumfall/settings/scheduler_settings.cc
+++ b/gypsumfall/settings/scheduler_settings.cc
@@ -22,6 +22,7 @@
 constexpr Range<double> kProcessorShareRange{0.001, 1024};
 constexpr Range<Duration> kEndedRetentionRange{minutes(1), hours(24)};
 constexpr Range<Duration> kHeartbeatRange{milliseconds(100), minutes(1)};
+constexpr Range<Duration> kEvacuationBoundRange{Duration{0}, minutes(10)};
 constexpr Range<Duration> kEvacuationReturnRange{Duration{0}, minutes(10)};
 constexpr Range<std::int64_t> kWorkersPerProcessorRange{1, 100'000};
 constexpr Range<ByteCount> kJobMemoryRange{ByteCount(64 << 10),
@@ -55,6 +56,8 @@
                     Within(ParseDuration, kEndedRetentionRange)),
           MakeField("worker_heartbeat", kOptional, timings.worker_heartbeat,
                     Within(ParseDuration, kHeartbeatRange)),
+          MakeField("evacuation_bound", kOptional, timings.evacuation_bound,
+                    Within(ParseDuration, kEvacuationBoundRange)),
           MakeField("evacuation_return", kOptional, timings.evacuation_return,
                     Within(ParseDuration, kEvacuationReturnRange))};
 }
