--- a/gypsumfall/settings/scheduler_settings.cc
+++ b/gypsumfall/settings/scheduler_settings.cc
@@ -77,8 +77,6 @@
                 ParseBool),
       MakeField("job_balancing", kOptional, overload.job_balancing, ParseBool),
       MakeField("acceptance_relay", kOptional, overload.acceptance_relay,
-                ParseBool),
-      MakeField("share_interference", kOptional, overload.share_interference,
                 ParseBool)};
 }
 
