--- a/gypsumfall/settings/internal/scheduler_settings.h
+++ b/gypsumfall/settings/internal/scheduler_settings.h
@@ -72,9 +72,6 @@
   bool job_balancing = false;
   /// A host that the table service turns away has another host store its jobs.
   bool acceptance_relay = false;
-  /// Leaders store what they have learned about interference, and read what
-  /// others have stored.
-  bool share_interference = false;
 };
 
 /// All settings of one scheduling host process.
