Start nothing on a restarted worker before its own entry is known

Cause: the dispatcher joined the entry of the worker list (capacity, labels) and the replies to lease calls by the id alone. The first reply of the new incarnation made the worker eligible with the entry of the former one. Late entries of a former incarnation are dropped; one that only looks late, because a clock was set back, counts once a call that was sent after the known entry was answered by another incarnation, or while the worker does not answer. An entry without `born` counts until another incarnation answers. A worker that did not restart is not held back, and an entry of a new incarnation shortens the wait for its first reply. Tests: five cases in restarts_test.cc. The simulated worker lists its new entry when it restarts. "a run started by a restarted worker is not started again" needs a start before the entry arrives, and asks for that now; its checks are unchanged.

--- a/gypsumfall/dispatch/acknowledgement_test.cc
+++ b/gypsumfall/dispatch/acknowledgement_test.cc
@@ -192,7 +192,8 @@
     return std::pair{Duration(seconds(3)), RunOutcome::kDone};
   };
   world.Advance(milliseconds(500));
-  world.Restart(0);
+  // Its entry has not arrived when the run starts.
+  world.StartIncarnation(0);
   LeaseReply reply;
   reply.verdict = OrderVerdict::kAccepted;
   reply.worker_clock = world.worker(0).Clock(world.now());
--- a/gypsumfall/dispatch/dispatcher.cc
+++ b/gypsumfall/dispatch/dispatcher.cc
@@ -380,6 +380,9 @@
         << (worker.entry.draining ? ", draining" : "")
         << (dispatch_internal::IsOpen(worker, now) ? "" : ", held back")
         << (worker.fenced ? "" : ", not fenced")
+        << (dispatch_internal::HasCurrentEntry(worker)
+                ? ""
+                : ", entry of another incarnation")
         << (IsUnresponsive(worker, now) ? ", silent" : "") << ", ends "
         << worker.processed << "/" << worker.acknowledged << "\n";
   }
--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -59,6 +59,7 @@
 
 using dispatch_internal::ClockNow;
 using dispatch_internal::IsIdleAndLeaving;
+using dispatch_internal::IsLateEntry;
 using dispatch_internal::IsUnresponsive;
 using dispatch_internal::LeaseEnd;
 using dispatch_internal::TaskPhase;
@@ -78,6 +79,13 @@
 
 void Dispatcher::OnWorkerListed(WorkerEntry entry, Time now) {
   Worker& worker = workers_.FindOrAdd(entry.id);
+  if (IsLateEntry(worker, entry)) return;
+  if (entry.incarnation != worker.entry.incarnation) {
+    worker.entry_received_at = now;
+    worker.entry_outdated = false;
+    // A restarted worker gets no runs until it has answered.
+    if (worker.fenced) worker.read_runs_at_once = true;
+  }
   const bool newly_listed = !worker.listed;
   const bool newly_draining = entry.draining && !worker.entry.draining;
   if (!entry.draining) {
@@ -275,6 +283,11 @@
   }
   worker->last_answer = now;
   worker->next_lease_call = now;
+  if (worker->entry.incarnation &&
+      *worker->entry.incarnation != reply.incarnation &&
+      sent > worker->entry_received_at) {
+    worker->entry_outdated = true;
+  }
   if (!worker->fenced || reply.incarnation != worker->incarnation) {
     if (worker->incarnation != reply.incarnation) {
       ResetForIncarnation(*worker, reply.incarnation, now);
@@ -323,6 +336,7 @@
   if (worker.incarnation != WallTime{0}) {
     AddEvent("worker restarted", {}, RunNumber(), worker.entry.id,
              std::to_string(worker.runs.size()) + " runs bound");
+    worker.restarted = true;
     worker.read_runs_at_once = true;
     worker.may_leave_at.reset();
     for (auto& [name, run] : worker.runs) run.progress_at = now;
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -113,7 +113,8 @@
                     .capacity = capacity,
                     .labels = {WorkerLabel("a"),
                                WorkerLabel("rack" + std::to_string(index / 2))},
-                    .rack = RackId("rack" + std::to_string(index / 2))};
+                    .rack = RackId("rack" + std::to_string(index / 2)),
+                    .incarnation = worker.incarnation};
     if (!label.empty()) worker.entry.labels.emplace_back(label);
     worker.clock_start = now_ - seconds(50);
     workers_.emplace(worker.entry.id, worker);
@@ -216,8 +217,15 @@
     crashed.runs.clear();
   }
 
-  /// Gives the worker a new incarnation that knows nothing of the old one.
+  /// Restarts the worker, whose new entry is received at once.
   void Restart(int index) {
+    StartIncarnation(index);
+    dispatcher_->OnWorkerListed(worker(index).entry, now_);
+  }
+
+  /// Gives the worker a new incarnation that knows nothing of the old one, and
+  /// whose entry has not been received yet.
+  void StartIncarnation(int index) {
     SimulatedWorker& restarted = worker(index);
     restarted.alive = true;
     restarted.runs.clear();
@@ -228,6 +236,7 @@
     restarted.clock_start = now_;
     restarted.lease_until = WorkerTime{};
     restarted.incarnation = WallTime(restarted.incarnation.count() + 1);
+    restarted.entry.incarnation = restarted.incarnation;
   }
 
   /// Makes the worker report that it drains.
--- a/gypsumfall/dispatch/internal/worker_messages.h
+++ b/gypsumfall/dispatch/internal/worker_messages.h
@@ -30,6 +30,10 @@
   /// Shortest time for which a draining worker goes on, counted from its
   /// report.
   std::optional<Duration> remaining;
+  /// Start of the incarnation that the entry describes, in milliseconds since
+  /// 1970; unset if the entry does not name it. A restarted worker may have
+  /// another capacity and other labels.
+  std::optional<WallTime> incarnation;
 
   friend bool operator==(const WorkerEntry&, const WorkerEntry&) = default;
 };
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -131,6 +131,13 @@
   /// Has reported its runs under this epoch.
   bool fenced = false;
   WallTime incarnation{0};
+  /// Another incarnation has answered this epoch before.
+  bool restarted = false;
+  /// Time at which the first entry of its incarnation was received.
+  Time entry_received_at{};
+  /// Another incarnation has answered a call that was sent after the entry was
+  /// received, so that the entry is of a former one.
+  bool entry_outdated = false;
 
   /// Reading of the worker's clock, and the latest local time at which it was
   /// taken.
@@ -219,6 +226,12 @@
 Time LeaseEnd(const Worker& worker, Time predecessor_leases_end);
 /// @return whether the worker has not answered in time.
 bool IsUnresponsive(const Worker& worker, Time now);
+/// @return whether the entry is of the incarnation that answers, so that its
+///   capacity and labels hold.
+bool HasCurrentEntry(const Worker& worker);
+/// @return whether the received entry is of an earlier incarnation than the one
+///   that is known, and came late.
+bool IsLateEntry(const Worker& worker, const WorkerEntry& received);
 /// @return whether the worker's data centre is open to new runs.
 inline bool IsOpen(const Worker& worker, Time now) {
   return worker.open.Contains(now);
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -197,9 +197,9 @@
 
 bool AcceptsWork(const Worker& worker, Time now) {
   return worker.listed && worker.fenced && worker.in_roster &&
-         !worker.entry.draining && worker.unexpected_runs.empty() &&
-         now >= worker.refused_until && IsOpen(worker, now) &&
-         !IsUnresponsive(worker, now);
+         HasCurrentEntry(worker) && !worker.entry.draining &&
+         worker.unexpected_runs.empty() && now >= worker.refused_until &&
+         IsOpen(worker, now) && !IsUnresponsive(worker, now);
 }
 
 Duration TimeUntilFits(const Worker& worker, const PlacementRequest& request,
--- a/gypsumfall/dispatch/restarts_test.cc
+++ b/gypsumfall/dispatch/restarts_test.cc
@@ -469,5 +469,138 @@
   CHECK(cluster.violations.empty());
 }
 
+constexpr Resources kSmallCapacity = {MilliCores(3000), MebiBytes(8000),
+                                      Accelerators(0)};
+
+/// Order in which the scheduler hears of a new incarnation.
+enum class RestartNews {
+  kReplyFirst,
+  kEntryFirst,
+  /// The new entry, then one of the former incarnation, then a reply.
+  kLateEntryBeforeReply,
+  /// The new entry and a reply, then an entry of the former incarnation.
+  kLateEntryAfterReply,
+};
+
+/// Keeps enough tasks of 1 core waiting to fill the worker.
+void KeepBusy(SimulatedCluster& cluster, Duration duration) {
+  for (Duration passed{0}; passed < duration; passed += milliseconds(100)) {
+    cluster.Submit(cluster.Record(
+        "job" + std::to_string(cluster.now().time_since_epoch().count()),
+        Tasks(2, 1000, false)));
+    cluster.Advance(milliseconds(100));
+  }
+}
+
+/// Restarts worker 0 with `kSmallCapacity`.
+void RestartSmaller(SimulatedCluster& cluster, RestartNews news) {
+  SimulatedWorker& worker = cluster.worker(0);
+  const WorkerEntry former = worker.entry;
+  cluster.Crash(0);
+  cluster.StartIncarnation(0);
+  worker.entry.capacity = kSmallCapacity;
+  // A partition keeps back the replies; no lease call fails meanwhile.
+  worker.partitioned = news != RestartNews::kReplyFirst;
+  if (news == RestartNews::kReplyFirst) KeepBusy(cluster, seconds(3));
+  cluster.dispatcher().OnWorkerListed(worker.entry, cluster.now());
+  if (news == RestartNews::kLateEntryBeforeReply)
+    cluster.dispatcher().OnWorkerListed(former, cluster.now());
+  KeepBusy(cluster, milliseconds(200));
+  worker.partitioned = false;
+  if (news != RestartNews::kLateEntryAfterReply) return;
+  KeepBusy(cluster, seconds(3));
+  cluster.dispatcher().OnWorkerListed(former, cluster.now());
+}
+
+// Guards against starts by the capacity of a former incarnation, in each order
+// in which the list and the replies tell of the new one.
+TEST_CASE("a worker that restarts smaller is not filled by its old capacity") {
+  SimulatedCluster cluster(1);
+  SetRunTimes(cluster);
+  KeepBusy(cluster, seconds(2));
+  REQUIRE(cluster.RunsOn(0) == 8);
+  RestartSmaller(cluster,
+                 GENERATE(RestartNews::kReplyFirst, RestartNews::kEntryFirst,
+                          RestartNews::kLateEntryBeforeReply,
+                          RestartNews::kLateEntryAfterReply));
+  KeepBusy(cluster, seconds(2));
+  CHECK(cluster.violations.empty());
+  // The worker is in use again.
+  CHECK(cluster.RunsOn(0) == 3);
+}
+
+// Guards against a successor that joins the entry of a former incarnation with
+// the replies of the new one.
+TEST_CASE("a successor ignores the entry of a former incarnation") {
+  SimulatedCluster cluster(1);
+  SetRunTimes(cluster);
+  KeepBusy(cluster, seconds(1));
+  const WorkerEntry former = cluster.worker(0).entry;
+  cluster.Crash(0);
+  cluster.TakeOver();
+  cluster.StartIncarnation(0);
+  cluster.worker(0).entry.capacity = kSmallCapacity;
+  cluster.dispatcher().OnWorkerListed(former, cluster.now());
+  KeepBusy(cluster, seconds(2));
+  CHECK(cluster.RunsOn(0) == 0);
+  cluster.dispatcher().OnWorkerListed(cluster.worker(0).entry, cluster.now());
+  KeepBusy(cluster, seconds(1));
+  CHECK(cluster.RunsOn(0) == 3);
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against starts on a restarted worker whose entries do not name the
+// incarnation, so that one of a former incarnation cannot be told.
+TEST_CASE("an entry without incarnation counts until the worker restarts") {
+  SimulatedCluster cluster(1);
+  SetRunTimes(cluster);
+  WorkerEntry unnamed = cluster.worker(0).entry;
+  unnamed.incarnation.reset();
+  cluster.dispatcher().OnWorkerListed(unnamed, cluster.now());
+  KeepBusy(cluster, seconds(2));
+  REQUIRE(cluster.RunsOn(0) == 8);
+  cluster.Crash(0);
+  cluster.StartIncarnation(0);
+  KeepBusy(cluster, seconds(3));
+  cluster.dispatcher().OnWorkerListed(unnamed, cluster.now());
+  KeepBusy(cluster, seconds(1));
+  CHECK(cluster.RunsOn(0) == 0);
+}
+
+// Guards against a worker that gets no work any more because the clock of its
+// machine was set back, so that its new entry looks older than the former one.
+TEST_CASE("a worker that restarts with an earlier clock gets work again") {
+  SimulatedCluster cluster(1);
+  SetRunTimes(cluster);
+  KeepBusy(cluster, seconds(1));
+  SimulatedWorker& worker = cluster.worker(0);
+  cluster.Crash(0);
+  cluster.StartIncarnation(0);
+  worker.incarnation = WallTime(-5);
+  worker.entry.incarnation = worker.incarnation;
+  worker.entry.capacity = kSmallCapacity;
+  // Heartbeats repeat the entry.
+  for (int i = 0; i < 4; ++i) {
+    cluster.dispatcher().OnWorkerListed(worker.entry, cluster.now());
+    KeepBusy(cluster, seconds(1));
+  }
+  CHECK(cluster.RunsOn(0) == 3);
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against a long pause of a worker that restarts as it was.
+TEST_CASE("a restarted worker gets work soon after its entry") {
+  SimulatedCluster cluster(1);
+  SetRunTimes(cluster);
+  cluster.Advance(seconds(1));
+  cluster.Crash(0);
+  cluster.Advance(milliseconds(200));
+  cluster.Restart(0);
+  cluster.Submit(cluster.Record("a", Tasks(1, 1000, false)));
+  cluster.Advance(seconds(2));
+  CHECK(cluster.RunsOn(0) == 1);
+  CHECK(cluster.violations.empty());
+}
+
 }  // namespace
 }  // namespace gypsumfall
--- a/gypsumfall/dispatch/worker_table.cc
+++ b/gypsumfall/dispatch/worker_table.cc
@@ -44,6 +44,22 @@
          now > worker.lease_reply_due + kUnresponsiveTimeout;
 }
 
+bool HasCurrentEntry(const Worker& worker) {
+  // An entry that names no incarnation may be of any former one.
+  if (!worker.entry.incarnation) return !worker.restarted;
+  return worker.incarnation == WallTime{0} ||
+         *worker.entry.incarnation == worker.incarnation;
+}
+
+bool IsLateEntry(const Worker& worker, const WorkerEntry& received) {
+  if (!received.incarnation || !worker.entry.incarnation) return false;
+  // The wall clock of the worker's machine may have been set back. An entry
+  // that seems to be older then counts if the known one is outdated, or if the
+  // worker does not answer, perhaps because it has another address.
+  return *received.incarnation < *worker.entry.incarnation &&
+         !worker.entry_outdated && worker.unanswered_calls == 0;
+}
+
 bool IsIdleAndLeaving(const Worker& worker) {
   const bool leaving = worker.unlisted || worker.entry.draining;
   return leaving && worker.fenced && worker.lists_all_completions &&
