--- a/gypsumfall/ranking/loss_order.cc
+++ b/gypsumfall/ranking/loss_order.cc
@@ -10,16 +10,16 @@
 namespace {
 
 // Share of the capacity of a priority that serves steps that are moved up.
-// These are late, so that they earn 15 % at most: in the model of load_test.cc
-// a share of 10 % cost up to 2 % of the value earned, 3 % less than 0.5 %.
+// These are late, so that they earn 15 % at most; a larger share would take
+// room from steps that can still be on time.
 constexpr double kMoveUpShare = 0.03;
 // Declared times are off by a factor of two and more for single jobs, and wide
 // jobs leave processors idle at their ends. The work is taken to fit only with
 // this margin.
 constexpr double kDeclaredWorkMargin = 1.5;
 // Exponent of the remaining work in the value for work. With 1 the largest
-// tenth of the jobs earned 40 % of what all earned in the long crowd of
-// load_test.cc, with 0.65 it earned 92 %.
+// tenth of the jobs would be served less than half as often as all under a long
+// overload (docs/design/ranking.md).
 constexpr double kWorkExponent = 0.65;
 // Minimum time between two steps that move up, so that steps that no worker can
 // run do not fill the front of the queue.
