--- a/gypsumfall/dispatch/dispatcher_ranking.cc
+++ b/gypsumfall/dispatch/dispatcher_ranking.cc
@@ -126,10 +126,11 @@
     StepDemand demand = DemandOf(*job, *next);
     demand.work_counted = !refs.empty() && refs.back().job == next->job &&
                           refs.back().occurrence == next->occurrence;
-    if (settings_.order_by_loss && !demand.long_running)
+    if (settings_.order_by_loss && !demand.long_running) {
       priorities[demand.priority] |=
           job->spec_of({next->job, next->occurrence, next->step, 0})
               .best_effort;
+    }
     demands.push_back(demand);
     refs.push_back(*next);
     ++next;
