Cast and name as the linter asks in the model of the queue

Cause: clang-tidy rejects C-style casts and the name of a constant. Change: the test only; its checks are unchanged.

--- a/gypsumfall/ranking/load_test.cc
+++ b/gypsumfall/ranking/load_test.cc
@@ -18,7 +18,7 @@
 constexpr double kCores = 400;
 constexpr double kTick = 0.05;
 constexpr int kSeeds = 24;
-const LossTerms kTerms;
+constexpr LossTerms kTerms;
 
 struct Load {
   const char* name;
@@ -59,7 +59,7 @@
 };
 
 Time At(double t) {
-  return Time(Duration(std::int64_t(std::llround(t * 1e6))));
+  return Time(Duration(static_cast<std::int64_t>(std::llround(t * 1e6))));
 }
 Duration Span(double t) { return At(t).time_since_epoch(); }
 
@@ -87,7 +87,7 @@
     const bool in_crowd = t >= 10 && t < load.crowd_end;
     const double size = in_crowd ? load.crowd_size : 1;
     ModelJob job{.arrival = t, .run_time = 2 * random.Factor(0.3)};
-    job.tasks = std::max(1, int(20 * size * random.Factor(0.6)));
+    job.tasks = std::max(1, static_cast<int>(20 * size * random.Factor(0.6)));
     job.cores = 2 + 1.5 * random.Uniform();
     // Declared times are off by a factor of two and more for single jobs.
     job.declared = job.run_time * random.Factor(0.4);
