--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -86,10 +86,11 @@
             raise CannotRun("run the build of deploy/system.toml first")
         self.host_count = hosts
         self.worker_count = workers
-        first = free_ports(1 + 5 * hosts + workers)
+        first = free_ports(1 + 6 * hosts + workers)
         self.store = "127.0.0.1:%d" % first
-        self.host_port = first + 1
-        self.worker_port = first + 1 + 5 * hosts
+        self.store_port = first + 1
+        self.host_port = first + 1 + hosts
+        self.worker_port = first + 1 + 6 * hosts
         self.processes = {}
 
     def host_name(self, host):
@@ -107,7 +108,7 @@
             "listenAddresses.ready": "127.0.0.1:%d" % (port + 1),
             "ipAddress": "127.0.0.1",
             "internalPortRange.0": str(port + 2),
-            "platform.address": self.store,
+            "platform.address": "127.0.0.1:%d" % (self.store_port + host),
         })
         with open(os.path.join(ROOT, self.role["template"])) as file:
             # All hosts share one address here, so each has a metrics port.
@@ -134,10 +135,23 @@
         self.processes[name].wait()
         self.record.add("host killed", host=name)
 
+    async def cut(self, name, for_s):
+        await call(self.store, "POST", "/standin/cut",
+                   {"host": name, "for_s": for_s})
+
+    def freeze_host(self, name):
+        self.processes[name].send_signal(signal.SIGSTOP)
+        self.record.add("host frozen", host=name)
+
+    def wake_host(self, name):
+        self.processes[name].send_signal(signal.SIGCONT)
+        self.record.add("host wakes", host=name)
+
     async def start_all(self):
         python = [sys.executable, "-B"]
         self.start("store", python + [os.path.join(LIBRARY, "store.py"),
                                       self.store.rsplit(":", 1)[1],
+                                      str(self.host_count),
                                       self.record_path])
         await self.await_true(lambda: call(self.store, "GET",
                                            "/standin/leader"), 10)
@@ -173,6 +187,7 @@
         return value["holder"] if isinstance(value, dict) else ""
 
     async def request(self, host, method, job, value=None):
+        """Sends a client's request; `host` is a number."""
         status, answer = await call(
             self.callers(host), method, PREFIX + job, value,
             {"Host": HOST_NAME, "X-Deadline-Ms": "3000"}, timeout=3.5)
--- a/review/lib-3/store.py
+++ b/review/lib-3/store.py
@@ -1,15 +1,17 @@
 """Stand-in of the platform's store: rows, transactions and feeds.
 
-    store.py PORT RECORD
+    store.py PORT HOSTS RECORD
 
-The workers register through /standin/server, which plays the platform's side
+PORT is for the workers and the case. Each host has a port of its own behind
+it, so that a single host can be cut off from the store. The workers register through /standin/server, which plays the platform's side
 of the worker list; the case reads /standin/leader to learn which host wrote
-last under a condition.
+last under a condition, and uses /standin/cut.
 """
 
 import asyncio
 import base64
 import bisect
+import functools
 import json
 import sys
 import time
@@ -19,6 +21,9 @@
 
 PAGE_ROWS = 500
 PAGE_BYTES = 1 << 20
+# Times of an answer and of a transaction, from the site kralen-sched.
+ANSWER_S = 0.004
+TRANSACTION_S = 0.006
 
 
 class Store:
@@ -30,6 +35,7 @@
         self.changed = asyncio.Event()
         self.started = time.monotonic()
         self.leader = ""
+        self.cut_until = {}
 
     def now_ms(self):
         return int((time.monotonic() - self.started) * 1000) + 1000
@@ -138,37 +144,64 @@
             except asyncio.TimeoutError:
                 pass
 
+    async def handle_host(self, host, request):
+        """Serves a host; a host that is cut off gets no answer."""
+        answer = None
+        if not self.is_cut(host):
+            answer = await self.handle(request)
+            if answer[0] == 412:
+                self.record.add("conflict", host=host)
+        if not self.is_cut(host):
+            return answer
+        while self.is_cut(host):
+            await asyncio.sleep(0.02)
+        return None
+
+    def is_cut(self, host):
+        return time.monotonic() < self.cut_until.get(host, 0)
+
     async def handle(self, request):
-        await asyncio.sleep(0.002)
         if request.path == "/rows-tx":
+            await asyncio.sleep(TRANSACTION_S)
             return self.transact(request.json())
-        if request.path == "/rows-get":
-            return self.get(request.query)
         if request.path == "/rows-feed":
             return await self.feed(request.query)
-        if request.path == "/rows-parts":
+        if request.path == "/rows-get":
+            answer = self.get(request.query)
+        elif request.path == "/rows-parts":
             parts = sorted({part for table, part, _ in self.rows
                             if table == request.query["table"]})
-            return 200, {**self.base(), "parts": parts, "hasMore": False}
+            answer = 200, {**self.base(), "parts": parts, "hasMore": False}
+        else:
+            return 404, {}
+        await asyncio.sleep(ANSWER_S)
+        return answer
+
+    async def control(self, request):
         if request.path == "/standin/row":
             row = request.json()
             address = (row["table"], "", row["key"])
-            if row.get("value") is None:
-                self.apply([], [address])
-            else:
-                text = base64.b64encode(json.dumps(row["value"]).encode())
-                self.apply([(address, text.decode())], [])
+            text = base64.b64encode(json.dumps(row["value"]).encode())
+            self.apply([(address, text.decode())], [])
             return 200, self.base()
+        if request.path == "/standin/cut":
+            cut = request.json()
+            self.cut_until[cut["host"]] = time.monotonic() + cut["for_s"]
+            self.record.add("cut from the store", **cut)
+            return 200, {}
         if request.path == "/standin/leader":
             return 200, {"holder": self.leader}
         return 404, {}
 
 
 async def main():
-    store = Store(Record(sys.argv[2], "store"))
-    server = await serve(store.handle, int(sys.argv[1]))
-    async with server:
-        await server.serve_forever()
+    port, hosts, path = int(sys.argv[1]), int(sys.argv[2]), sys.argv[3]
+    store = Store(Record(path, "store"))
+    await serve(store.control, port)
+    for host in range(hosts):
+        await serve(functools.partial(store.handle_host, "front-%d" % host),
+                    port + 1 + host)
+    await asyncio.Event().wait()
 
 
 if __name__ == "__main__":
