--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -217,8 +217,8 @@
             return await asyncio.wait_for(case(deployment, trouble), 95)
 
         kept = asyncio.run(play())
-    except (CannotRun, asyncio.TimeoutError) as error:
-        print("the case could not run: %s" % (error or "too slow"))
+    except Exception as error:  # Any other fault of the case itself.
+        print("the case could not run: %s" % (error or type(error).__name__))
         sys.exit(2)
     finally:
         if deployment:
