--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -208,6 +208,13 @@
     """Runs `await case(deployment, trouble)`, which returns whether the rule
     was kept, and exits as a case has to."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    def stop(*_):
+        raise SystemExit(2)
+
+    # An end from outside has to end the processes that were started, too.
+    for name in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(name, stop)
     deployment = None
     try:
         deployment = Deployment(folder, hosts, workers)
--- a/review/lib-3/workers.py
+++ b/review/lib-3/workers.py
@@ -37,6 +37,7 @@
         self.born_ms = int(time.time() * 1000)
         self.fence = 0
         self.lease_ms = 0
+        self.lapsed = True
         self.runs = {}
         self.highest_gone = {}
         self.ends = []
@@ -61,6 +62,7 @@
 
     def extend(self, deadline_ms):
         clock = self.clock_ms()
+        self.lapsed = False
         self.lease_ms = max(self.lease_ms, min(deadline_ms, clock + MAX_HOLD_MS))
 
     def end(self, task, how):
@@ -168,7 +170,9 @@
     async def watch_lease(self):
         while True:
             await asyncio.sleep(0.02)
-            if self.runs and self.clock_ms() >= self.lease_ms:
+            if not self.lapsed and self.clock_ms() >= self.lease_ms:
+                self.lapsed = True
+                self.record.add("lease lapsed", worker=self.name)
                 for task in list(self.runs):
                     self.end(task, "lapsed")
 
