Wait for all ends of a worker before tasks of earlier epochs start

After a takeover, tasks of earlier epochs wait until each worker has reported.

Ruled out: a lost acknowledgement; the ends are listed by the next answer.

Before: of 600 tasks that ended during the takeover 100 start again (new test, which failed first; the simulated worker now lists 500 ends as well).

--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -13,10 +13,6 @@
 namespace gypsumfall {
 namespace {
 
-// A worker reports at most this many completions at once. Runs missing from
-// such a report may have ended.
-constexpr std::size_t kMaxListedCompletions = 500;
-
 // Initial and maximum delay after an unanswered lease call; doubles with each
 // further one.
 constexpr Duration kLeaseRetryDelay = milliseconds(100);
@@ -302,8 +298,9 @@
     ApplyCompletion(*worker, end, now, wall_now);
   ApplyRunReports(*worker, reply, sent, now);
   worker->fenced = true;
-  worker->predecessor_lease = false;
   worker->lists_all_completions = reply.ended.size() < kMaxListedCompletions;
+  // A run of an earlier epoch may have ended, and its end may be listed later.
+  if (worker->lists_all_completions) worker->predecessor_lease = false;
   Acknowledge(*worker);
 }
 
--- a/gypsumfall/dispatch/internal/simulated_cluster.h
+++ b/gypsumfall/dispatch/internal/simulated_cluster.h
@@ -6,6 +6,7 @@
 // partitioned.
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -463,7 +464,11 @@
       const int percent = worker.stalls_runs ? 0 : run.Percent();
       reply.running.push_back({name, run.number, {}, percent, usage});
     }
-    reply.ended = worker.ended;
+    const std::size_t listed =
+        std::min(worker.ended.size(), kMaxListedCompletions);
+    reply.ended.assign(
+        worker.ended.begin(),
+        worker.ended.begin() + static_cast<std::ptrdiff_t>(listed));
     return reply;
   }
 
--- a/gypsumfall/dispatch/internal/worker_messages.h
+++ b/gypsumfall/dispatch/internal/worker_messages.h
@@ -1,6 +1,7 @@
 #ifndef GYPSUMFALL_DISPATCH_INTERNAL_WORKER_MESSAGES_H_
 #define GYPSUMFALL_DISPATCH_INTERNAL_WORKER_MESSAGES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -111,6 +112,10 @@
   Checkpoint checkpoint;
 };
 
+/// A worker reports at most this many completions at once. Runs missing from
+/// such a report may have ended.
+inline constexpr std::size_t kMaxListedCompletions = 500;
+
 /// Reply to a lease call.
 struct LeaseReply {
   OrderVerdict verdict = OrderVerdict::kUnanswered;
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -129,7 +129,8 @@
   /// Time by which the lease has expired, as the roster tells it or is about to
   /// tell it; see `LeaseHolder`.
   std::optional<Time> recorded_lease_end;
-  /// Held a lease of an earlier epoch and has not reported its runs since.
+  /// Held a lease of an earlier epoch and has not reported all its runs, and
+  /// all ends of runs, since.
   bool predecessor_lease = false;
   /// Has reported its runs under this epoch.
   bool fenced = false;
--- a/gypsumfall/dispatch/takeovers_test.cc
+++ b/gypsumfall/dispatch/takeovers_test.cc
@@ -145,6 +145,36 @@
   CHECK(cluster.violations.empty());
 }
 
+// Guards against tasks that are started again because their successful ends
+// do not fit in the first report of their worker to the new leader.
+TEST_CASE("a task whose end is reported later does not start again") {
+  SimulatedCluster cluster(2);
+  cluster.run_of = [](const TaskName&, int) {
+    return std::pair{Duration(seconds(2)), RunOutcome::kDone};
+  };
+  const int count = static_cast<int>(kMaxListedCompletions) + 100;
+  cluster.worker(1).partitioned = true;
+  cluster.Advance(seconds(1));
+  JobSpec spec = Tasks(count, 10, false);
+  spec.steps[0].need.memory = MebiBytes(10);
+  cluster.Submit(cluster.Record("short-a", spec));
+  cluster.Advance(milliseconds(500));
+  REQUIRE(cluster.RunsOn(0) == count);
+  // The runs end while no leader reads them.
+  cluster.worker(0).partitioned = true;
+  cluster.Advance(seconds(2));
+  REQUIRE(cluster.RunsOn(0) == 0);
+  cluster.TakeOver();
+  cluster.worker(0).partitioned = cluster.worker(1).partitioned = false;
+  for (const int i : {0, 1})
+    cluster.dispatcher().OnWorkerListed(cluster.worker(i).entry, cluster.now());
+  cluster.Advance(seconds(3));
+  CHECK(cluster.StateOf("short-a") == JobState::kCompleted);
+  int started_again = 0;
+  for (const auto& [task, starts] : cluster.starts) started_again += starts - 1;
+  CHECK(started_again == 0);
+}
+
 /// Answers all lease orders of the dispatcher as a worker without runs.
 void AnswerLeaseOrders(Dispatcher& dispatcher, Time now) {
   for (const Order& order : dispatcher.Decide(now)) {
