Start no task while a worker still stops an earlier run of it

A job that is read after a takeover has loaded the stored jobs may have runs that workers have reported already. They are unexpected and are being stopped, which takes up to the stop timeout of the worker. Moves and transfers check for such runs; the start didn't.

EarlierRunsKnown now checks it, for all members of a gang. Unexpected runs of a worker whose lease has expired are forgotten, since they have ended. The workers with such runs are kept in a set, so that a start looks at them only.

--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -2,6 +2,7 @@
 // not answer.
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <string>
 #include <utility>
@@ -381,6 +382,7 @@
         report.checkpoint.empty() ? nullptr : jobs_.EditTask(report.task);
     if (task != nullptr) task->checkpoint = report.checkpoint;
   }
+  if (!unexpected_runs.empty()) unexpected_run_workers_.insert(worker.entry.id);
   worker.unexpected_runs = std::move(unexpected_runs);
   interference_.Learn(worker);
   UpdateThrottling(worker, interference_, now);
@@ -453,6 +455,7 @@
     const bool responsive = worker.fenced && !IsUnresponsive(worker, now);
     if (responsive || now < LeaseEnd(worker, predecessor_leases_end_)) continue;
     if (!worker.runs.empty()) RequeueAllRuns(worker, now, "lease expired");
+    worker.unexpected_runs.clear();
     worker.fenced = false;
     worker.predecessor_lease = false;
     if (!worker.listed) expired_workers.push_back(id);
@@ -474,7 +477,33 @@
   AddEvent("all runs of earlier epochs are known", {}, RunNumber(), {});
 }
 
+bool Dispatcher::HasUnexpectedRun(const TaskName& name) const {
+  return HasUnexpectedRunBetween(name, name);
+}
+
+bool Dispatcher::HasUnexpectedRunBetween(const TaskName& first,
+                                         const TaskName& last) const {
+  return std::any_of(
+      unexpected_run_workers_.begin(), unexpected_run_workers_.end(),
+      [&](const WorkerId& id) {
+        const Worker* worker = workers_.Find(id);
+        if (worker == nullptr) return false;
+        const auto run = worker->unexpected_runs.lower_bound(first);
+        return run != worker->unexpected_runs.end() && !(last < run->first);
+      });
+}
+
 bool Dispatcher::EarlierRunsKnown(const Job& job, const TaskName& name) const {
+  // A job may be read after its runs were reported and found unexpected.
+  if (job.spec_of(name).gang) {
+    TaskName first = name;
+    TaskName last = name;
+    first.index = 0;
+    last.index = std::numeric_limits<int>::max();
+    if (HasUnexpectedRunBetween(first, last)) return false;
+  } else if (HasUnexpectedRun(name)) {
+    return false;
+  }
   if (predecessor_runs_known_ || job.record.accepted_epoch >= epoch_)
     return true;
   // Until its slack had passed, a predecessor may have taken a worker that
--- a/gypsumfall/dispatch/dispatcher_moves.cc
+++ b/gypsumfall/dispatch/dispatcher_moves.cc
@@ -69,11 +69,8 @@
 }
 
 bool Dispatcher::HasUnexpectedRunOf(const JobId& id) const {
-  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
-    const auto& runs = entry.second.unexpected_runs;
-    const auto first = runs.lower_bound({.job = id});
-    return first != runs.end() && first->first.job == id;
-  });
+  constexpr int kLast = std::numeric_limits<int>::max();
+  return HasUnexpectedRunBetween({.job = id}, {id, kLast, kLast, kLast});
 }
 
 bool Dispatcher::MayMove(const Job& job) const {
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -228,6 +228,10 @@
 }
 
 void Dispatcher::AddStopOrders(Time now, std::vector<Order>& orders) {
+  std::erase_if(unexpected_run_workers_, [&](const WorkerId& id) {
+    const Worker* worker = workers_.Find(id);
+    return worker == nullptr || worker->unexpected_runs.empty();
+  });
   for (auto& [id, worker] : workers_) {
     for (auto& [name, run] : worker.runs) {
       AddStopOrder(worker, name, run, now, orders);
@@ -283,7 +287,7 @@
         AddWaitEvent(ref, now, "runs failed early on all workers that fit");
         break;
       case StepStart::kRunsUnknown:
-        AddWaitEvent(ref, now, "not all runs of earlier epochs are known");
+        AddWaitEvent(ref, now, "runs of earlier epochs may exist");
         break;
     }
   }
--- a/gypsumfall/dispatch/dispatcher_transfers.cc
+++ b/gypsumfall/dispatch/dispatcher_transfers.cc
@@ -178,12 +178,6 @@
     MakeReady(transfer.task, *task, now);
 }
 
-bool Dispatcher::HasUnexpectedRun(const TaskName& name) const {
-  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
-    return entry.second.unexpected_runs.contains(name);
-  });
-}
-
 void Dispatcher::ApplyDeferredTransfers(Time now) {
   for (const TaskTransfer& transfer : std::exchange(deferred_transfers_, {}))
     ApplyTransfer(transfer, now);
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -473,8 +473,15 @@
   void RemoveIdleLeavingWorkersFromRoster();
   void ExpireLeases(Time now);
   void UpdatePredecessorRunsKnown();
+  /// @return whether a worker reports a run of the task that this dispatcher
+  ///   has not started and is stopping.
+  bool HasUnexpectedRun(const TaskName& name) const;
+  /// The same for all tasks from `first` to `last`, inclusive.
+  bool HasUnexpectedRunBetween(const TaskName& first,
+                               const TaskName& last) const;
   /// @return whether no worker that has not reported yet can hold a run of the
-  ///   task, so that the task may start.
+  ///   task, and none is still stopping one, so that the task may start. Of a
+  ///   gang, all members count.
   bool EarlierRunsKnown(const Job& job, const TaskName& name) const;
 
   // Orders.
@@ -608,9 +615,6 @@
   /// @return the waiting task of a sliced job, or null.
   const Task* FindTransferable(const TaskName& name);
   void RemoveTransfersOf(const JobId& job);
-  /// @return whether a worker reports a run of the task that this dispatcher
-  ///   has not started and is stopping.
-  bool HasUnexpectedRun(const TaskName& name) const;
   void ApplyDeferredTransfers(Time now);
 
   // Moves of jobs.
@@ -702,6 +706,8 @@
 
   dispatch_internal::JobTable jobs_;
   dispatch_internal::WorkerTable workers_;
+  /// All workers with unexpected runs, and some that have none left.
+  std::set<WorkerId> unexpected_run_workers_;
   std::optional<EvacuationSet> evacuations_;
   dispatch_internal::InterferenceModel interference_;
   /// Ratio of actual to declared run times, smoothed.
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -270,6 +270,7 @@
  public:
   Worker& FindOrAdd(const WorkerId& id);
   Worker* Find(const WorkerId& id);
+  const Worker* Find(const WorkerId& id) const;
   void Remove(const WorkerId& id) { workers_.erase(id); }
   /// Visits each worker once until the visitor returns false.
   /// @param rotate whether to begin behind the worker at which the last
--- a/gypsumfall/dispatch/takeovers_test.cc
+++ b/gypsumfall/dispatch/takeovers_test.cc
@@ -175,6 +175,41 @@
   CHECK(started_again == 0);
 }
 
+// Guards against a second run beside one that a worker reported before its job
+// was read, and that it has not stopped yet.
+TEST_CASE("a job that is read late does not run beside its unexpected runs") {
+  SimulatedCluster cluster(3);
+  SetRunTimes(cluster);
+  JobSpec spec = Tasks(2, 3000, true);
+  spec.steps[0].gang = GENERATE(false, true);
+  const JobRecord record = cluster.Record("long-a", spec);
+  cluster.Submit(record);
+  cluster.Advance(seconds(1));
+  const TaskName first{record.id, 0, 0, 0};
+  const TaskName second{record.id, 0, 0, 1};
+  REQUIRE(cluster.RunningNow(first) == 1);
+  const int host = WorkerOf(cluster, second, 3);
+  REQUIRE(host >= 0);
+  cluster.worker(host).stops_pending = true;
+  cluster.unread_jobs = {record.id};
+  cluster.TakeOver();
+  cluster.Advance(milliseconds(300));
+  REQUIRE(cluster.RunsOn(host) > 0);
+  cluster.Submit(record);
+  SECTION("the worker stops the run") {
+    cluster.Advance(milliseconds(300));
+    cluster.worker(host).stops_pending = false;
+  }
+  SECTION("the worker is lost") {
+    cluster.Advance(milliseconds(10));
+    cluster.Crash(host);
+  }
+  cluster.Advance(kMaxRestartTime);
+  CHECK(cluster.RunningNow(first) == 1);
+  CHECK(cluster.RunningNow(second) == 1);
+  CHECK(cluster.violations.empty());
+}
+
 /// Answers all lease orders of the dispatcher as a worker without runs.
 void AnswerLeaseOrders(Dispatcher& dispatcher, Time now) {
   for (const Order& order : dispatcher.Decide(now)) {
--- a/gypsumfall/dispatch/worker_table.cc
+++ b/gypsumfall/dispatch/worker_table.cc
@@ -129,6 +129,11 @@
   return worker;
 }
 
+const Worker* WorkerTable::Find(const WorkerId& id) const {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
 Worker* WorkerTable::Find(const WorkerId& id) {
   const auto found = workers_.find(id);
   return found == workers_.end() ? nullptr : &found->second;
