Ignore answers of an earlier leader when judging the present one

A host that had called leader A read of leader B before A answered. A's answer that it does not schedule, or a refused connection, was compared with the holder known when it arrived.

A call now keeps the process that was the holder when it was sent, and its outcome counts only while that process is the holder.

Ruled out: a wrong row; A had lost its leadership and said so truly.

Test: an answer of, or a refusal by, an earlier holder allows no claim; both did before.

--- a/gypsumfall/leadership/leadership.cc
+++ b/gypsumfall/leadership/leadership.cc
@@ -82,13 +82,20 @@
   version_ = version;
 }
 
-void LeaderLease::OnHolderRefused(Time now) {
+void LeaderLease::OnHolderRefused(const std::string& called, Time now) {
+  if (!IsHolder(called)) return;
   if (now > last_refusal_ + kRefusalWindow) refusals_ = 0;
   last_refusal_ = now;
   ++refusals_;
 }
 
-void LeaderLease::OnHolderReplaced() { holder_replaced_ = true; }
+void LeaderLease::OnHolderReplaced(const std::string& called) {
+  if (IsHolder(called)) holder_replaced_ = true;
+}
+
+bool LeaderLease::IsHolder(const std::string& process) const {
+  return record_ && record_->process == process;
+}
 
 ClaimReason LeaderLease::FindClaimReason(Time now) const {
   if (!record_) return ClaimReason::kNoRow;
@@ -164,9 +171,8 @@
       return milliseconds(0);
     case ClaimReason::kHolderRefuses:
     case ClaimReason::kHolderReplaced:
-      // A network partition also refuses connections, and a late answer of an
-      // earlier holder looks like that of a process which has replaced the
-      // present one.
+      // A network partition also refuses connections, and another machine may
+      // have been given the address of a holder that is only cut off.
       return lease;
     case ClaimReason::kOwnRow:
       // A machine of the same name at another address may be cut off.
--- a/gypsumfall/leadership/leadership.h
+++ b/gypsumfall/leadership/leadership.h
@@ -90,9 +90,12 @@
   /// Records that the row could not be read.
   void OnReadFailed(Time now) { last_read_failure_ = now; }
   /// Records that the holder's address refused a connection.
-  void OnHolderRefused(Time now);
+  /// @param called process that was the holder when the call was sent. A
+  ///   refusal by the address of an earlier holder doesn't count.
+  void OnHolderRefused(const std::string& called, Time now);
   /// Records that another process answers at the holder's address.
-  void OnHolderReplaced();
+  /// @param called see `OnHolderRefused`.
+  void OnHolderReplaced(const std::string& called);
 
   /// Checks whether this host should claim the row. Must be called
   /// periodically while this host is not the leader.
@@ -135,6 +138,7 @@
   Duration predecessor_slack() const { return predecessor_slack_; }
 
  private:
+  bool IsHolder(const std::string& process) const;
   ClaimReason FindClaimReason(Time now) const;
   /// @return the predecessor slack of a claim for this reason.
   milliseconds SlackAfter(ClaimReason reason) const;
--- a/gypsumfall/leadership/leadership_test.cc
+++ b/gypsumfall/leadership/leadership_test.cc
@@ -138,9 +138,9 @@
 TEST_CASE("repeated refused connections allow a claim with predecessor slack") {
   LeaderLease host = Host("a");
   host.Observe(HeldBy("b"), RowVersion(5), kStart);
-  host.OnHolderRefused(kStart + milliseconds(200));
+  host.OnHolderRefused("p1", kStart + milliseconds(200));
   CHECK_FALSE(ClaimAt(host, kStart + milliseconds(300)));
-  host.OnHolderRefused(kStart + milliseconds(300));
+  host.OnHolderRefused("p1", kStart + milliseconds(300));
   const auto claim = ClaimAt(host, kStart + milliseconds(400));
   REQUIRE(claim);
   host.OnStored(*claim, RowVersion(6), kStart + milliseconds(400));
@@ -156,8 +156,8 @@
     "a row that is read while the claim is pending keeps predecessor slack") {
   LeaderLease host = Host("a");
   host.Observe(HeldBy("b"), RowVersion(5), kStart);
-  host.OnHolderRefused(kStart + milliseconds(200));
-  host.OnHolderRefused(kStart + milliseconds(300));
+  host.OnHolderRefused("p1", kStart + milliseconds(200));
+  host.OnHolderRefused("p1", kStart + milliseconds(300));
   const auto claim = ClaimAt(host, kStart + milliseconds(400));
   REQUIRE(claim);
   host.Observe(claim->record, RowVersion(6), kStart + milliseconds(410));
@@ -204,26 +204,45 @@
   CHECK(restarted.predecessor_slack() == Duration{0});
 }
 
-// Guards against two leaders that both send orders, after a late answer of an
-// earlier holder was taken for that of a process that has replaced the holder.
+// Guards against two leaders that both send orders, after a process at the
+// address of the holder was taken for one that has replaced the holder.
 TEST_CASE("a holder that seems to be replaced keeps the whole slack") {
   LeaderLease first = Host("a");
   Elect(first, std::nullopt, RowVersion(0), kStart);
   LeaderLease second = Host("b");
   const LeaderRecord held = first.Renewal(kStart + seconds(5)).record;
   second.Observe(held, RowVersion(5), kStart + seconds(5));
-  second.OnHolderReplaced();
+  second.OnHolderReplaced(held.process);
   Elect(second, held, RowVersion(5), kStart + seconds(5));
   CHECK(second.predecessor_slack() == seconds(3));
 }
 
+// Guards against a second leader beside one whose lease is valid, because an
+// answer to a call that was sent to the holder before it arrives late.
+TEST_CASE("an answer of an earlier holder does not allow a claim") {
+  LeaderLease host = Host("a");
+  host.Observe(HeldBy("b", "p1"), RowVersion(5), kStart);
+  const Time renewed = kStart + milliseconds(100);
+  host.Observe(HeldBy("c", "p2"), RowVersion(6), renewed);
+  SECTION("that no longer schedules") { host.OnHolderReplaced("p1"); }
+  SECTION("whose address refuses connections") {
+    host.OnHolderRefused("p1", renewed);
+    host.OnHolderRefused("p1", renewed);
+  }
+  CHECK_FALSE(ClaimAt(host, renewed + milliseconds(100)));
+  SECTION("and one of the present holder does") {
+    host.OnHolderReplaced("p2");
+    CHECK(ClaimAt(host, renewed + milliseconds(500)));
+  }
+}
+
 // Guards against a slack that is forgotten with the leader that began it: the
 // holder before it may only be cut off.
 TEST_CASE("a release keeps the slack for an earlier holder that is cut off") {
   LeaderLease second = Host("b");
   second.Observe(HeldBy("a"), RowVersion(5), kStart);
-  second.OnHolderRefused(kStart);
-  second.OnHolderRefused(kStart);
+  second.OnHolderRefused("p1", kStart);
+  second.OnHolderRefused("p1", kStart);
   Elect(second, HeldBy("a"), RowVersion(5), kStart);
   REQUIRE(second.predecessor_slack() == seconds(3));
   LeaderLease third = Host("c");
@@ -236,8 +255,8 @@
 TEST_CASE("refused connections far apart do not add up") {
   LeaderLease host = Host("a");
   host.Observe(HeldBy("b"), RowVersion(5), kStart);
-  host.OnHolderRefused(kStart + milliseconds(100));
-  host.OnHolderRefused(kStart + milliseconds(1500));
+  host.OnHolderRefused("p1", kStart + milliseconds(100));
+  host.OnHolderRefused("p1", kStart + milliseconds(1500));
   CHECK_FALSE(ClaimAt(host, kStart + milliseconds(1600)));
 }
 
--- a/gypsumfall/scheduler/internal/leader_elector.h
+++ b/gypsumfall/scheduler/internal/leader_elector.h
@@ -42,9 +42,11 @@
   /// behave as the leader.
   void ReadSoon();
   /// See `LeaderLease`.
-  /// @param process process that answers at the holder's address.
-  void OnHolderRefused();
-  void OnHolderReplaced(const std::string& process);
+  /// @param called process that was the holder when the call was sent.
+  /// @param answering process that answers at the address of that holder.
+  void OnHolderRefused(const std::string& called);
+  void OnHolderReplaced(const std::string& called,
+                        const std::string& answering);
 
   /// Stores rows and renews the lease in one transaction. Retries until the
   /// transaction is stored or rejected, or leadership is lost. Only one call
--- a/gypsumfall/scheduler/internal/peer_service.h
+++ b/gypsumfall/scheduler/internal/peer_service.h
@@ -75,7 +75,9 @@
   void Send(Shard& shard, std::string_view call, std::string body,
             Duration timeout, UniqueFunction<CallOutcome> done);
   /// Tells the elector if the outcome shows that the leader is lost.
-  void ObserveLeader(Shard& shard, const CallOutcome& outcome);
+  /// @param called process of the leader to which the call was sent.
+  void ObserveLeader(Shard& shard, const std::string& called,
+                     const CallOutcome& outcome);
   void QueryQueueLength(Shard& shard, const QueueId& queue, Duration timeout,
                         UniqueFunction<Result<QueueLengthReply>> done);
 
--- a/gypsumfall/scheduler/leader_elector.cc
+++ b/gypsumfall/scheduler/leader_elector.cc
@@ -103,17 +103,18 @@
 
 void LeaderElector::ReadSoon() { next_read_ = Time::min(); }
 
-void LeaderElector::OnHolderRefused() {
-  lease_.OnHolderRefused(context_.Now());
+void LeaderElector::OnHolderRefused(const std::string& called) {
+  lease_.OnHolderRefused(called, context_.Now());
   ReadSoon();
 }
 
-void LeaderElector::OnHolderReplaced(const std::string& process) {
-  if (!lease_.record() || lease_.record()->process == process) {
+void LeaderElector::OnHolderReplaced(const std::string& called,
+                                     const std::string& answering) {
+  if (called == answering) {
     ReadSoon();
     return;
   }
-  lease_.OnHolderReplaced();
+  lease_.OnHolderReplaced(called);
 }
 
 void LeaderElector::ReadLeaderRow() {
--- a/gypsumfall/scheduler/peer_service.cc
+++ b/gypsumfall/scheduler/peer_service.cc
@@ -288,23 +288,26 @@
   std::string path = std::string(kPathPrefix) +
                      std::to_string(shard.scope.id.value()) + "/" +
                      std::string(call);
-  context_.peers.Call(
-      shard.elector.lease().record()->endpoint,
-      {.path = std::move(path), .body = std::move(body)}, timeout,
-      [this, &shard, done = std::move(done)](CallOutcome outcome) mutable {
-        ObserveLeader(shard, outcome);
-        done(std::move(outcome));
-      });
+  const LeaderRecord& leader = *shard.elector.lease().record();
+  context_.peers.Call(leader.endpoint,
+                      {.path = std::move(path), .body = std::move(body)},
+                      timeout,
+                      [this, &shard, called = leader.process,
+                       done = std::move(done)](CallOutcome outcome) mutable {
+                        ObserveLeader(shard, called, outcome);
+                        done(std::move(outcome));
+                      });
 }
 
-void PeerService::ObserveLeader(Shard& shard, const CallOutcome& outcome) {
+void PeerService::ObserveLeader(Shard& shard, const std::string& called,
+                                const CallOutcome& outcome) {
   if (!outcome.failure && outcome.status == 200) return;
   failed_calls_.Add();
   if (outcome.failure) {
     if (*outcome.failure == CallFailure::kRefused)
-      shard.elector.OnHolderRefused();
+      shard.elector.OnHolderRefused(called);
   } else if (outcome.status == kNotSchedulingStatus) {
-    shard.elector.OnHolderReplaced(outcome.body);
+    shard.elector.OnHolderReplaced(called, outcome.body);
   }
 }
 
