Start a best-effort job throttled if no worker takes it at full share

A pair of images that never ran side by side has the initial slope, 5.

A best-effort task whose job has waited for 1 s with nothing running now starts on the worker that leaves it the largest share at which each serving task is expected to keep its headroom, at least 10 percent. It is throttled from its start on, and relaxed by its reports like other runs. Workers with a harmed serving task get none. A budget limits the searches in each round.

Weighed: a lower initial slope, which starts harmful pairs at full share; trials of unknown pairs only, which leaves learned slopes that are too high in place.

Test: fails before (no start within 1.5 s); with half of the target left the job starts below 60 percent and reaches 100; at 0.9 of the target it waits.

--- a/gypsumfall/dispatch/dispatcher_leases.cc
+++ b/gypsumfall/dispatch/dispatcher_leases.cc
@@ -27,9 +27,6 @@
 // the order is sent again.
 constexpr int kUnknownSentPercent = -100;
 
-// Share of runs that are never throttled.
-constexpr int kFullSpeedPercent = 100;
-
 // Time after which reports show the share that was ordered: the timeout of the
 // order, the measurement window of half a second, and the way of the reports.
 constexpr Duration kShareReportDelay = milliseconds(1500);
@@ -58,6 +55,7 @@
 using dispatch_internal::IsIdleAndLeaving;
 using dispatch_internal::IsLateEntry;
 using dispatch_internal::IsUnresponsive;
+using dispatch_internal::kFullSharePercent;
 using dispatch_internal::LeaseEnd;
 using dispatch_internal::TaskPhase;
 using dispatch_internal::UnexpectedRun;
@@ -416,7 +414,7 @@
               .progress_at = now,
               .sent_percent = job->spec_of(report.task).best_effort
                                   ? kUnknownSentPercent
-                                  : kFullSpeedPercent});
+                                  : kFullSharePercent});
 }
 
 void Dispatcher::RequeueUnlistedRuns(Worker& worker, const LeaseReply& reply,
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -42,6 +42,10 @@
 // other worker of the shard could run it. In this time another shard takes the
 // job, if one wants it.
 constexpr Duration kWaitForOtherShard = seconds(2);
+// Time for which no task of a job runs before a best-effort task of it starts
+// with a smaller share, if no worker takes it with the full one. Accepted work
+// may stand still for three seconds while there is room.
+constexpr Duration kWaitBeforeThrottledStart = seconds(1);
 // Changes of the share below this, in percentage points, are not worth an
 // order.
 constexpr int kMinThrottleChangePercent = 5;
@@ -84,13 +88,16 @@
 }  // namespace
 
 using dispatch_internal::ChooseWorker;
+using dispatch_internal::ChooseWorkerToThrottle;
 using dispatch_internal::ClockNow;
 using dispatch_internal::CountFailure;
 using dispatch_internal::FailsRuns;
 using dispatch_internal::IsStalled;
 using dispatch_internal::IsUnresponsive;
+using dispatch_internal::kFullSharePercent;
 using dispatch_internal::Reservation;
 using dispatch_internal::Reserve;
+using dispatch_internal::StartPercent;
 using dispatch_internal::TaskPhase;
 
 std::vector<Order> Dispatcher::Decide(Time now) {
@@ -269,12 +276,13 @@
         job.record.spec.steps[static_cast<std::size_t>(ref.step)];
     if (spec.best_effort && !place_best_effort) continue;
     ReserveForStarvingTasks(ref, now, limited);
-    if (unplaceable.Covers(spec, job.record.terms.service) &&
+    const bool may_throttle = MayStartThrottled(ref, now);
+    if (unplaceable.Covers(spec, job.record.terms.service) && !may_throttle &&
         !HoldsWorkerForAny(ref, now)) {
       AddWaitEvent(ref, now, "a smaller task found no worker");
       continue;
     }
-    switch (StartStep(ref, now, orders)) {
+    switch (StartStep(ref, may_throttle, now, orders)) {
       case StepStart::kAllStarted:
         RemoveReadyStep(ready_steps_.find(ref));
         break;
@@ -314,8 +322,20 @@
                       std::to_string(ready_steps_.size()) + " steps waiting");
 }
 
+// Returns whether a best-effort step has waited so long that one of its tasks
+// may start with a smaller share. Counts a search for a worker if so.
+bool Dispatcher::MayStartThrottled(const StepRef& ref, Time now) {
+  Job& job = *jobs_.Find(ref.job);
+  const TaskName name{ref.job, ref.occurrence, ref.step, 0};
+  const StepSpec& spec = job.spec_of(name);
+  return spec.best_effort && !spec.gang &&
+         now >= StepOf(job, name).ready_since + kWaitBeforeThrottledStart &&
+         !HasBoundRun(job) && throttled_start_searches_.TryAcquire(now);
+}
+
 // Starts as many ready tasks of a step as find a worker.
-Dispatcher::StepStart Dispatcher::StartStep(const StepRef& ref, Time now,
+Dispatcher::StepStart Dispatcher::StartStep(const StepRef& ref,
+                                            bool may_throttle, Time now,
                                             std::vector<Order>& orders) {
   Job& job = *jobs_.Find(ref.job);
   TaskName name{ref.job, ref.occurrence, ref.step, 0};
@@ -339,6 +359,10 @@
       return true;
     }
     Worker* worker = WorkerFor(job, name, step, now);
+    if (worker == nullptr && std::exchange(may_throttle, false)) {
+      worker = ChooseWorkerToThrottle(workers_, RequestFor(job, name, step),
+                                      interference_, now);
+    }
     if (worker == nullptr) {
       result = StepStart::kNoWorker;
     } else if (!IsRetryDelayed(name, *worker, now)) {
@@ -452,6 +476,11 @@
   Step& step = StepOf(job, name);
   if (job.spec_of(name).same_rack && step.rack.empty())
     step.rack = worker.entry.rack;
+  const int start_percent =
+      job.spec_of(name).best_effort
+          ? StartPercent(worker, RequestFor(job, name, step), interference_,
+                         now)
+          : kFullSharePercent;
   const RunNumber number(task.last_run + 1);
   StartOrder order{.worker = worker.entry.id,
                    .endpoint = worker.entry.endpoint,
@@ -472,7 +501,8 @@
               .does_whole_task = task.checkpoint.empty(),
               .started_at = now,
               .phase_changed_at = now,
-              .progress_at = now});
+              .progress_at = now,
+              .target_percent = start_percent});
   return order;
 }
 
--- a/gypsumfall/dispatch/dispatcher_test.cc
+++ b/gypsumfall/dispatch/dispatcher_test.cc
@@ -491,6 +491,46 @@
   std::size_t next_factor_ = 0;
 };
 
+// Guards against best-effort jobs that never start, because a pair of images
+// that never ran side by side is expected to harm each other, and is not tried.
+TEST_CASE("a best-effort job starts throttled where its effect is unknown") {
+  SimulatedCluster world(2);
+  // Half of the target, or close to it.
+  const double tail_ms = GENERATE(25.0, 45.0);
+  world.usage_of = [tail_ms](const SimulatedWorker& worker,
+                             const TaskName& task) {
+    if (task.job == JobId("serve")) return tail_ms;
+    return 2500 * worker.runs.at(task).speed_percent / 100.0;
+  };
+  world.run_of = [](const TaskName&, int) {
+    return std::pair{Duration(seconds(40)), RunOutcome::kDone};
+  };
+  StepSpec serving = Tasks(2);
+  serving.long_running = true;
+  serving.tail_target = milliseconds(50);
+  serving.max_per_worker = 1;
+  serving.image = ImageId("s");
+  StepSpec best_effort_step = Tasks(1, 2500);
+  best_effort_step.best_effort = true;
+  best_effort_step.image = ImageId("f");
+  world.Submit(world.Record("serve", OneStep(serving)));
+  world.Advance(seconds(2));
+  world.Submit(world.Record("fill", OneStep(best_effort_step)));
+  world.Advance(milliseconds(1500));
+  const TaskName fill{JobId("fill"), 0, 0, 0};
+  const bool has_headroom = tail_ms < 30;
+  REQUIRE(world.RunningNow(fill) == (has_headroom ? 1 : 0));
+  if (!has_headroom) return;
+  const int host = world.RunsOn(0) == 2 ? 0 : 1;
+  const auto percent = [&] {
+    return world.worker(host).runs.at(fill).speed_percent;
+  };
+  CHECK(percent() < 60);
+  // The serving task keeps its headroom, so that the share grows.
+  world.Advance(seconds(10));
+  CHECK(percent() == 100);
+}
+
 // Guards against a smoothed headroom that takes several seconds to show that a
 // run with much headroom misses its target by little.
 TEST_CASE("a target that was met by far and is now missed is met again soon") {
--- a/gypsumfall/dispatch/interference.cc
+++ b/gypsumfall/dispatch/interference.cc
@@ -139,29 +139,49 @@
                                                 std::size_t best_effort_image,
                                                 MilliCores cpu,
                                                 Time now) const {
-  std::vector<std::pair<std::size_t, double>> unreported = {
-      {best_effort_image, ShareOf(worker, cpu)}};
-  for (const auto& [task, run] : worker.runs) {
-    if (!run.best_effort || now >= run.started_at + kReportDelay) continue;
-    const double unreported_fraction =
-        1 - static_cast<double>((now - run.started_at).count()) /
-                static_cast<double>(kReportDelay.count());
-    unreported.emplace_back(
-        run.image, unreported_fraction * ShareOf(worker, run.best_effort_cpu));
-  }
   double shortfall = 0;
   for (const auto& [task, serving] : worker.runs) {
     if (!IsServing(serving)) continue;
     // Until the target is met again, it is not known which runs harm it.
     if (IsHarmed(serving)) return std::numeric_limits<double>::infinity();
-    if (Slope(serving.image, best_effort_image) <= 0) continue;
-    double expected_headroom = serving.headroom;
-    for (const auto& [image, share] : unreported) {
-      expected_headroom -= Slope(serving.image, image) * share;
-    }
+    const double slope = Slope(serving.image, best_effort_image);
+    if (slope <= 0) continue;
+    const double expected_headroom =
+        ExpectedHeadroom(worker, serving, now) - slope * ShareOf(worker, cpu);
     shortfall += std::max(0.0, kTargetHeadroom - expected_headroom);
   }
   return shortfall;
 }
 
+int InterferenceModel::PercentToKeepHeadroom(const Worker& worker,
+                                             std::size_t best_effort_image,
+                                             MilliCores cpu, Time now) const {
+  double percent = 100;
+  for (const auto& [task, serving] : worker.runs) {
+    if (!IsServing(serving)) continue;
+    if (IsHarmed(serving)) return 0;
+    const double impact =
+        Slope(serving.image, best_effort_image) * ShareOf(worker, cpu);
+    if (impact <= 0) continue;
+    const double spare =
+        ExpectedHeadroom(worker, serving, now) - kTargetHeadroom;
+    percent = std::min(percent, 100 * std::max(0.0, spare) / impact);
+  }
+  return static_cast<int>(percent);
+}
+
+double InterferenceModel::ExpectedHeadroom(const Worker& worker,
+                                           const Run& serving, Time now) const {
+  double headroom = serving.headroom;
+  for (const auto& [task, run] : worker.runs) {
+    if (!run.best_effort || now >= run.started_at + kReportDelay) continue;
+    const double unreported_fraction =
+        1 - static_cast<double>((now - run.started_at).count()) /
+                static_cast<double>(kReportDelay.count());
+    headroom -= Slope(serving.image, run.image) * unreported_fraction *
+                ShareOf(worker, run.best_effort_cpu);
+  }
+  return headroom;
+}
+
 }  // namespace gypsumfall::dispatch_internal
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -538,7 +538,10 @@
     /// reported.
     kRunsUnknown,
   };
-  StepStart StartStep(const StepRef& ref, Time now, std::vector<Order>& orders);
+  bool MayStartThrottled(const StepRef& ref, Time now);
+  /// @param may_throttle whether one task may start with a smaller share.
+  StepStart StartStep(const StepRef& ref, bool may_throttle, Time now,
+                      std::vector<Order>& orders);
   bool StartGang(Job& job, const TaskName& first, Step& step, Time now,
                  std::vector<Order>& orders);
   Worker* WorkerFor(Job& job, const TaskName& name, Step& step, Time now);
@@ -734,10 +737,11 @@
   Time next_best_effort_round_{};
   Time next_sweep_{};
   Time next_image_cleanup_{};
-  /// Separate budgets, so that many draining workers do not keep starving tasks
-  /// from being searched for.
+  /// Separate budgets, so that many draining workers, for example, do not keep
+  /// starving tasks from being searched for.
   SearchBudget starving_task_searches_;
   SearchBudget move_searches_;
+  SearchBudget throttled_start_searches_;
   /// Times at which the next occurrences of jobs are due, one for each job.
   std::set<std::pair<Time, JobId>> due_occurrences_;
   /// Jobs with due occurrences that are not open, because enough steps wait.
--- a/gypsumfall/dispatch/internal/interference.h
+++ b/gypsumfall/dispatch/internal/interference.h
@@ -55,8 +55,18 @@
                                std::size_t best_effort_image, MilliCores cpu,
                                Time now) const;
 
+  /// @return the largest share, in percent of the processors that a new run of
+  ///   the best-effort image requests, at which each serving run on the worker
+  ///   is expected to keep its headroom; 0 if one of them is harmed already.
+  int PercentToKeepHeadroom(const Worker& worker, std::size_t best_effort_image,
+                            MilliCores cpu, Time now) const;
+
  private:
   void AddIndex();
+  /// @return the headroom of the serving run once all best-effort runs of the
+  ///   worker show in its reports.
+  double ExpectedHeadroom(const Worker& worker, const Run& serving,
+                          Time now) const;
 
   /// Index of the images that are not in the model.
   static constexpr std::size_t kOtherImages = 0;
--- a/gypsumfall/dispatch/internal/placement.h
+++ b/gypsumfall/dispatch/internal/placement.h
@@ -59,6 +59,18 @@
 Worker* ChooseWorker(WorkerTable& workers, const PlacementRequest& request,
                      const InterferenceModel& model, Time now);
 
+/// Chooses the worker on which a best-effort task can start with the largest
+/// share, when it must be throttled from its start on.
+/// @return null if no worker leaves it enough to make progress.
+Worker* ChooseWorkerToThrottle(WorkerTable& workers,
+                               const PlacementRequest& request,
+                               const InterferenceModel& model, Time now);
+
+/// @return the share, in percent, with which a best-effort task starts on a
+///   worker that was chosen for it.
+int StartPercent(const Worker& worker, const PlacementRequest& request,
+                 const InterferenceModel& model, Time now);
+
 /// Chooses the worker that can have enough free resources soonest if no further
 /// run of finite length starts on it, judged by the declared run times of those
 /// it has.
--- a/gypsumfall/dispatch/internal/worker_table.h
+++ b/gypsumfall/dispatch/internal/worker_table.h
@@ -31,6 +31,12 @@
   kStopAcknowledged,
 };
 
+/// Share of a run that is not throttled, in percent.
+inline constexpr int kFullSharePercent = 100;
+/// Below this share, in percent, a best-effort run makes too little progress to
+/// be worth an order.
+inline constexpr int kMinSharePercent = 10;
+
 /// A run that is bound to a worker and holds resources there.
 struct Run {
   RunNumber number;
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -250,6 +250,39 @@
   return best;
 }
 
+int StartPercent(const Worker& worker, const PlacementRequest& request,
+                 const InterferenceModel& model, Time now) {
+  const MilliCores cpu = request.spec->need.cpu;
+  if (model.ShortfallAfterPlacing(worker, request.image, cpu, now) <=
+      kMaxShortfall) {
+    return kFullSharePercent;
+  }
+  return model.PercentToKeepHeadroom(worker, request.image, cpu, now);
+}
+
+Worker* ChooseWorkerToThrottle(WorkerTable& workers,
+                               const PlacementRequest& request,
+                               const InterferenceModel& model, Time now) {
+  Worker* best = nullptr;
+  int best_percent = kMinSharePercent - 1;
+  const auto cpu = static_cast<double>(request.spec->need.cpu.value());
+  for (auto& [id, worker] : workers) {
+    if (!IsEligible(worker, request, now) || !Fits(worker, request) ||
+        IsAvoided(worker, request) || HealthPenalty(worker, now) > 0) {
+      continue;
+    }
+    const int percent = StartPercent(worker, request, model, now);
+    const double used = cpu * percent / kFullSharePercent;
+    if (percent <= best_percent ||
+        UnusedProcessors(worker) < kMinUnusedShare * used) {
+      continue;
+    }
+    best = &worker;
+    best_percent = percent;
+  }
+  return best;
+}
+
 Worker* ChooseWorkerToReserve(WorkerTable& workers,
                               const PlacementRequest& request, Time now) {
   Worker* best = nullptr;
--- a/gypsumfall/dispatch/throttling.cc
+++ b/gypsumfall/dispatch/throttling.cc
@@ -24,9 +24,6 @@
 constexpr double kThrottleTo = 1.3;
 // Throttling is relaxed while the model expects at least this headroom.
 constexpr double kRelaxTo = 1.5;
-// Below this share, in percent, a run makes too little progress to be worth an
-// order.
-constexpr int kMinSharePercent = 10;
 
 double ShareAt(const Worker& worker, const Run& run, int percent) {
   return ShareOf(worker, run.best_effort_cpu) * percent / 100;
