--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -45,7 +45,7 @@
 // Time for which no task of a job runs before a best-effort task of it starts
 // with a smaller share, if no worker takes it with the full one. Accepted work
 // may stand still for three seconds while there is room.
-constexpr Duration kWaitBeforeThrottledStart = seconds(1);
+constexpr Duration kWaitBeforeThrottledStart = seconds(2);
 // Changes of the share below this, in percentage points, are not worth an
 // order.
 constexpr int kMinThrottleChangePercent = 5;
@@ -494,7 +494,10 @@
       "free " + FreeResources(worker).ToString() + ", ready for " +
           std::to_string((now - task.ready_since).count() / 1000) +
           " ms, clock age " +
-          std::to_string((now - worker.clock_read_at).count() / 1000) + " ms");
+          std::to_string((now - worker.clock_read_at).count() / 1000) + " ms" +
+          (start_percent < kFullSharePercent
+               ? ", throttled to " + std::to_string(start_percent) + " %"
+               : ""));
   BindRun(worker, job, name, task,
           Run{.number = number,
               .phase = RunPhase::kStartSent,
