Throttle from the start only the tasks that were placed for it

A best-effort task that starts on a reserved worker, and a member of a best-effort gang, starts with its full share as before; the share was computed for each start, and could be 0.

--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -359,15 +359,18 @@
       return true;
     }
     Worker* worker = WorkerFor(job, name, step, now);
+    int start_percent = kFullSharePercent;
     if (worker == nullptr && std::exchange(may_throttle, false)) {
-      worker = ChooseWorkerToThrottle(workers_, RequestFor(job, name, step),
-                                      interference_, now);
+      const PlacementRequest request = RequestFor(job, name, step);
+      worker = ChooseWorkerToThrottle(workers_, request, interference_, now);
+      if (worker != nullptr)
+        start_percent = StartPercent(*worker, request, interference_, now);
     }
     if (worker == nullptr) {
       result = StepStart::kNoWorker;
     } else if (!IsRetryDelayed(name, *worker, now)) {
-      orders.emplace_back(
-          PlaceRun(*worker, job, name, step.tasks.Edit(index), now));
+      orders.emplace_back(PlaceRun(*worker, job, name, step.tasks.Edit(index),
+                                   start_percent, now));
     } else if (result == StepStart::kAllStarted) {
       result = StepStart::kRetryDelayed;
     }
@@ -431,7 +434,8 @@
                         .reserved_on = task.reserved_on,
                         .reservation = ReservationOf(name, task),
                         .had_changed = had_changed};
-    starts.emplace_back(PlaceRun(*worker, job, name, task, now));
+    starts.emplace_back(
+        PlaceRun(*worker, job, name, task, kFullSharePercent, now));
     placed.push_back(std::move(placement));
   }
   std::move(starts.begin(), starts.end(), std::back_inserter(orders));
@@ -471,16 +475,11 @@
 }
 
 StartOrder Dispatcher::PlaceRun(Worker& worker, Job& job, const TaskName& name,
-                                Task& task, Time now) {
+                                Task& task, int start_percent, Time now) {
   ReleaseReservationOf(name, task);
   Step& step = StepOf(job, name);
   if (job.spec_of(name).same_rack && step.rack.empty())
     step.rack = worker.entry.rack;
-  const int start_percent =
-      job.spec_of(name).best_effort
-          ? StartPercent(worker, RequestFor(job, name, step), interference_,
-                         now)
-          : kFullSharePercent;
   const RunNumber number(task.last_run + 1);
   StartOrder order{.worker = worker.entry.id,
                    .endpoint = worker.entry.endpoint,
--- a/gypsumfall/dispatch/internal/dispatcher.h
+++ b/gypsumfall/dispatch/internal/dispatcher.h
@@ -549,8 +549,9 @@
   ///   because another shard may take its job soon.
   bool AwaitsOtherShard(const Job& job, const TaskName& name,
                         const Worker& worker, Time now);
+  /// @param start_percent share at which the run works from its start on.
   StartOrder PlaceRun(Worker& worker, Job& job, const TaskName& name,
-                      Task& task, Time now);
+                      Task& task, int start_percent, Time now);
 
   // Order of the waiting steps.
   static Time ObjectiveOf(const Job& job, const StepRef& ref);
--- a/gypsumfall/dispatch/internal/placement.h
+++ b/gypsumfall/dispatch/internal/placement.h
@@ -66,8 +66,8 @@
                                const PlacementRequest& request,
                                const InterferenceModel& model, Time now);
 
-/// @return the share, in percent, with which a best-effort task starts on a
-///   worker that was chosen for it.
+/// @return the share, in percent, with which a best-effort task can start on an
+///   eligible worker.
 int StartPercent(const Worker& worker, const PlacementRequest& request,
                  const InterferenceModel& model, Time now);
 
