Give up small shares for a throttled start until a job has waited for 2.6 s

A start after 2 s now needs at least 30 percent, after 2.6 s at least 10, so that a job stands still for less than 3 s.

--- a/gypsumfall/dispatch/dispatch.h
+++ b/gypsumfall/dispatch/dispatch.h
@@ -12,8 +12,10 @@
 ///   the previous one is known to have ended, or when the lease of its worker
 ///   has expired on the worker's own clock;
 /// - after a takeover, tasks accepted in earlier epochs wait until every worker
-///   that could run them has reported its runs under the new epoch or has lost
-///   its lease.
+///   that could run them has reported its runs, and all ends of runs, under the
+///   new epoch or has lost its lease;
+/// - no run starts while a worker still stops an earlier one of the task that
+///   this dispatcher did not expect.
 ///
 /// Example:
 /// @code
--- a/gypsumfall/dispatch/dispatcher_orders.cc
+++ b/gypsumfall/dispatch/dispatcher_orders.cc
@@ -46,6 +46,11 @@
 // with a smaller share, if no worker takes it with the full one. Accepted work
 // may stand still for three seconds while there is room.
 constexpr Duration kWaitBeforeThrottledStart = seconds(2);
+// Smallest share for such a start, in percent; a run with less takes so long
+// that a full share found later serves its caller better. After the second wait
+// any share that makes progress will do.
+constexpr int kMinStartPercent = 30;
+constexpr Duration kWaitBeforeSlowStart = milliseconds(2600);
 // Changes of the share below this, in percentage points, are not worth an
 // order.
 constexpr int kMinThrottleChangePercent = 5;
@@ -95,6 +100,7 @@
 using dispatch_internal::IsStalled;
 using dispatch_internal::IsUnresponsive;
 using dispatch_internal::kFullSharePercent;
+using dispatch_internal::kMinSharePercent;
 using dispatch_internal::Reservation;
 using dispatch_internal::Reserve;
 using dispatch_internal::StartPercent;
@@ -362,7 +368,11 @@
     int start_percent = kFullSharePercent;
     if (worker == nullptr && std::exchange(may_throttle, false)) {
       const PlacementRequest request = RequestFor(job, name, step);
-      worker = ChooseWorkerToThrottle(workers_, request, interference_, now);
+      const int min_percent = now >= step.ready_since + kWaitBeforeSlowStart
+                                  ? kMinSharePercent
+                                  : kMinStartPercent;
+      worker = ChooseWorkerToThrottle(workers_, request, interference_,
+                                      min_percent, now);
       if (worker != nullptr)
         start_percent = StartPercent(*worker, request, interference_, now);
     }
--- a/gypsumfall/dispatch/internal/placement.h
+++ b/gypsumfall/dispatch/internal/placement.h
@@ -61,10 +61,12 @@
 
 /// Chooses the worker on which a best-effort task can start with the largest
 /// share, when it must be throttled from its start on.
-/// @return null if no worker leaves it enough to make progress.
+/// @param min_percent smallest share, in percent, that is enough.
+/// @return null if no worker leaves it that share.
 Worker* ChooseWorkerToThrottle(WorkerTable& workers,
                                const PlacementRequest& request,
-                               const InterferenceModel& model, Time now);
+                               const InterferenceModel& model, int min_percent,
+                               Time now);
 
 /// @return the share, in percent, with which a best-effort task can start on an
 ///   eligible worker.
--- a/gypsumfall/dispatch/placement.cc
+++ b/gypsumfall/dispatch/placement.cc
@@ -262,9 +262,10 @@
 
 Worker* ChooseWorkerToThrottle(WorkerTable& workers,
                                const PlacementRequest& request,
-                               const InterferenceModel& model, Time now) {
+                               const InterferenceModel& model, int min_percent,
+                               Time now) {
   Worker* best = nullptr;
-  int best_percent = kMinSharePercent - 1;
+  int best_percent = min_percent - 1;
   const auto cpu = static_cast<double>(request.spec->need.cpu.value());
   for (auto& [id, worker] : workers) {
     if (!IsEligible(worker, request, now) || !Fits(worker, request) ||
